--- /dev/null
+++ b/packages/base/catch_main/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/packages/peer_protocol/peer.thrift
@@ -0,0 +1,134 @@
+/** Messages between the proxies of one fleet. */
+namespace cpp bulrushlift.peer
+
+/** Position in the log of a database group: term of the entry and its index. */
+struct log_point_t {
+  1: required i64 term
+  2: required i64 position
+}
+
+/** Wire form of an error. `kind` is the name from the table of error kinds. */
+struct error_t {
+  1: required string kind
+  2: required string message
+  3: optional i64 retry_after_ms
+  /** The outcome of this occurrence: "not_run", "unknown" or "done". */
+  4: optional string outcome
+}
+
+/** A member as one VM knows it. `state` is alive, suspect, dead or leaving. */
+struct member_t {
+  1: required string vm
+  2: required string address
+  3: required string data_centre
+  4: required i64 incarnation
+  5: required string state
+}
+
+/** What a member tells about the configuration in force. */
+struct configuration_status_t {
+  1: required i64 generation
+  /** Age in milliseconds of the last confirmation that it is the newest. */
+  2: required i64 confirmed_age_ms
+}
+
+struct ping_t {
+  1: required string sender
+  2: required i64 incarnation
+  3: required list<member_t> updates
+  4: required configuration_status_t configuration
+  /** Set on an indirect ping: the member to probe for the sender. */
+  5: optional string target
+}
+
+struct ack_t {
+  1: required string sender
+  2: required i64 incarnation
+  3: required list<member_t> updates
+  4: required configuration_status_t configuration
+  /** The member that is reachable; differs from `sender` on indirect pings. */
+  5: required string subject
+}
+
+struct leave_t {
+  1: required string sender
+  2: required i64 incarnation
+}
+
+/** A request that its owner executes. It never contains a key. */
+struct relay_request_t {
+  1: required string request_id
+  2: required string customer
+  3: required string route
+  /** execute, begin, commit, rollback or resolve. */
+  4: required string operation
+  /** read or write. */
+  5: optional string kind
+  6: optional string statement
+  7: optional i64 max_age_ms
+  8: optional bool idempotent
+  9: optional string idempotency_key
+  10: optional string transaction
+  /** Requirement of the session for the service of the route. */
+  11: optional log_point_t required_point
+  12: required i64 deadline_ms
+  13: required i64 generation
+}
+
+struct relay_reply_t {
+  1: optional error_t error
+  /** JSON text of the result. */
+  2: optional string result
+  3: optional log_point_t point
+  4: optional string target
+  5: optional string transaction
+  6: optional string outcome
+}
+
+/** Tokens that the borrower used from one loan. */
+struct loan_use_t {
+  1: required i64 loan
+  2: required i64 used_millitokens
+}
+
+struct loan_request_t {
+  1: required string sender
+  2: required i64 incarnation
+  3: required string customer
+  4: required i64 millitokens
+  5: required list<loan_use_t> used
+  6: required i64 generation
+}
+
+struct loan_reply_t {
+  1: required string customer
+  2: required i64 loan
+  3: required i64 millitokens
+  4: required i64 level_millitokens
+}
+
+struct document_request_t {
+  1: required i64 generation
+}
+
+struct document_reply_t {
+  1: required i64 generation
+  2: required string text
+  3: required i64 confirmed_age_ms
+  4: required list<string> leaving_targets
+}
+
+struct envelope_t {
+  /** Correlates a reply with its request; chosen by the requester. */
+  1: required i64 id
+  2: optional ping_t ping
+  3: optional ack_t ack
+  4: optional leave_t leave
+  5: optional relay_request_t relay_request
+  6: optional relay_reply_t relay_reply
+  7: optional loan_request_t loan_request
+  8: optional loan_reply_t loan_reply
+  9: optional document_request_t document_request
+  10: optional document_reply_t document_reply
+  11: optional error_t error
+}
