--- /dev/null
+++ b/packages/net/event_loop.cc
@@ -0,0 +1,193 @@
+#include "net/event_loop.h"
+
+#include <ace/ACE.h>
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler_Handle_Timeout_Upcall.h>
+#include <ace/Monotonic_Time_Policy.h>
+#include <ace/Null_Mutex.h>
+#include <ace/Reactor.h>
+#include <ace/Timer_Heap_T.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace bulrushlift {
+namespace {
+
+// The default timer queue of ACE follows the wall clock; this one follows the monotonic clock.
+using monotonic_timer_heap = ACE_Timer_Heap_T<ACE_Event_Handler*, ACE_Event_Handler_Handle_Timeout_Upcall,
+                                              ACE_Null_Mutex, ACE_Monotonic_Time_Policy>;
+
+ACE_Time_Value to_ace(duration span) {
+  const auto positive = std::max(span, duration::zero());
+  // Rounded up, so that a timer never runs before its time.
+  return ACE_Time_Value{std::chrono::ceil<std::chrono::microseconds>(positive)};
+}
+
+std::size_t handle_bound(std::size_t wanted) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return wanted;
+  return std::min<std::size_t>(wanted, limit.rlim_max);
+}
+
+struct timer_entry {
+  long ace_id = -1;
+  std::function<void()> callback;
+};
+
+/// Receives all timeouts; the argument of a timeout is the timer's id.
+class timer_dispatcher : public ACE_Event_Handler {
+ public:
+  int handle_timeout(const ACE_Time_Value& /*now*/, const void* argument) override {
+    const auto found = entries.find(reinterpret_cast<std::uintptr_t>(argument));
+    if (found == entries.end()) return 0;
+    const auto callback = std::move(found->second.callback);
+    entries.erase(found);
+    callback();
+    return 0;
+  }
+
+  std::unordered_map<std::uintptr_t, timer_entry> entries;
+};
+
+/// Reads one signal from a descriptor, so that its callback runs in the loop.
+class signal_handler : public ACE_Event_Handler {
+ public:
+  signal_handler(ACE_HANDLE handle, std::function<void()> callback)
+      : handle_(handle), callback_(std::move(callback)) {}
+  signal_handler(const signal_handler&) = delete;
+  signal_handler& operator=(const signal_handler&) = delete;
+  ~signal_handler() override { ::close(handle_); }
+
+  [[nodiscard]] ACE_HANDLE get_handle() const override { return handle_; }
+
+  int handle_input(ACE_HANDLE /*handle*/) override {
+    signalfd_siginfo info{};
+    if (::read(handle_, &info, sizeof info) == sizeof info) callback_();
+    return 0;
+  }
+
+  int handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/) override { return 0; }
+
+ private:
+  ACE_HANDLE handle_;
+  std::function<void()> callback_;
+};
+
+}  // namespace
+
+struct event_loop::state {
+  explicit state(std::size_t max_handles)
+      : implementation(max_handles, false, nullptr, &timers), reactor(&implementation) {}
+
+  monotonic_timer_heap timers;
+  ACE_Dev_Poll_Reactor implementation;
+  ACE_Reactor reactor;
+  timer_dispatcher dispatcher;
+  std::uintptr_t last_timer = 0;
+  std::vector<std::unique_ptr<signal_handler>> signals;
+  std::vector<std::function<void()>> posted;
+};
+
+event_loop::event_loop(std::size_t max_handles) {
+  // A write to a closed connection is reported by its error code.
+  std::signal(SIGPIPE, SIG_IGN);
+  state_ = std::make_unique<state>(handle_bound(max_handles));
+}
+
+event_loop::~event_loop() {
+  for (const auto& handler : state_->signals) {
+    state_->reactor.remove_handler(handler.get(),
+                                   ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
+  }
+  // Callbacks may own connections, which use the reactor until they are destroyed.
+  state_->posted.clear();
+  auto entries = std::exchange(state_->dispatcher.entries, {});
+  entries.clear();
+}
+
+ACE_Reactor& event_loop::reactor() noexcept { return state_->reactor; }
+
+void event_loop::run() {
+  is_stopped_ = false;
+  while (!is_stopped_) turn(std::chrono::seconds{1});
+}
+
+void event_loop::run_for(duration span) {
+  is_stopped_ = false;
+  const auto end = now() + span;
+  while (!is_stopped_) {
+    const auto left = end - now();
+    if (left <= duration::zero()) break;
+    turn(std::min<duration>(left, std::chrono::seconds{1}));
+  }
+}
+
+void event_loop::turn(duration max_wait) {
+  run_posted();
+  if (is_stopped_) return;
+  auto wait = state_->posted.empty() ? to_ace(max_wait) : ACE_Time_Value::zero;
+  state_->reactor.handle_events(wait);
+}
+
+void event_loop::run_posted() {
+  // Callbacks posted by these callbacks run in the next turn, after the events.
+  const auto callbacks = std::exchange(state_->posted, {});
+  for (const auto& callback : callbacks) callback();
+}
+
+timer_id event_loop::schedule(duration delay, std::function<void()> callback) {
+  const auto id = ++state_->last_timer;
+  auto& entry = state_->dispatcher.entries[id];
+  entry.callback = std::move(callback);
+  entry.ace_id =
+      state_->reactor.schedule_timer(&state_->dispatcher, reinterpret_cast<const void*>(id), to_ace(delay));
+  return timer_id{id};
+}
+
+void event_loop::cancel(timer_id id) {
+  const auto found = state_->dispatcher.entries.find(id.value());
+  if (found == state_->dispatcher.entries.end()) return;
+  state_->reactor.cancel_timer(found->second.ace_id);
+  // The callback is destroyed after the erasure, because it may own other timers.
+  const auto callback = std::move(found->second.callback);
+  state_->dispatcher.entries.erase(found);
+}
+
+void event_loop::post(std::function<void()> callback) { state_->posted.push_back(std::move(callback)); }
+
+bool event_loop::on_signal(int signal_number, std::function<void()> callback) {
+  sigset_t set;
+  sigemptyset(&set);
+  sigaddset(&set, signal_number);
+  if (pthread_sigmask(SIG_BLOCK, &set, nullptr) != 0) return false;
+  const int handle = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  if (handle < 0) return false;
+  auto handler = std::make_unique<signal_handler>(handle, std::move(callback));
+  if (state_->reactor.register_handler(handler.get(), ACE_Event_Handler::READ_MASK) != 0) return false;
+  state_->signals.push_back(std::move(handler));
+  return true;
+}
+
+void scoped_timer::set(duration delay, std::function<void()> callback) {
+  cancel();
+  id_ = loop_->schedule(delay, [this, callback = std::move(callback)] {
+    id_ = timer_id{};
+    // Copied, because the callback may set this timer again or destroy its owner.
+    const auto copy = callback;
+    copy();
+  });
+}
+
+void scoped_timer::cancel() {
+  if (!is_set()) return;
+  loop_->cancel(std::exchange(id_, timer_id{}));
+}
+
+}  // namespace bulrushlift
