Implement event loop, HTTP, peer links and datagrams

Cause: the daemon, the stand-ins and the operator's program need them. Change: sockets, timers and demultiplexing on ACE with monotonic timers; HTTP/1.1 parsing and serializing by Boost.Beast; peer links with correlation ids, back-off and probes that replace unresponsive connections; every wait and queue has a bound.

--- a/packages/net/event_loop.cc
+++ b/packages/net/event_loop.cc
@@ -36,24 +36,25 @@
   return std::min<std::size_t>(wanted, limit.rlim_max);
 }
 
+/// Its address is the argument of its timeout.
 struct timer_entry {
+  std::uint64_t id = 0;
   long ace_id = -1;
   std::function<void()> callback;
 };
 
-/// Receives all timeouts; the argument of a timeout is the timer's id.
+/// Receives all timeouts.
 class timer_dispatcher : public ACE_Event_Handler {
  public:
   int handle_timeout(const ACE_Time_Value& /*now*/, const void* argument) override {
-    const auto found = entries.find(reinterpret_cast<std::uintptr_t>(argument));
-    if (found == entries.end()) return 0;
-    const auto callback = std::move(found->second.callback);
-    entries.erase(found);
-    callback();
+    // Cancelled timers are removed from the reactor, so the entry exists.
+    const auto node = entries.extract(static_cast<const timer_entry*>(argument)->id);
+    node.mapped().callback();
     return 0;
   }
 
-  std::unordered_map<std::uintptr_t, timer_entry> entries;
+  // Entries keep their addresses while others come and go.
+  std::unordered_map<std::uint64_t, timer_entry> entries;
 };
 
 /// Reads one signal from a descriptor, so that its callback runs in the loop.
@@ -90,7 +91,7 @@
   ACE_Dev_Poll_Reactor implementation;
   ACE_Reactor reactor;
   timer_dispatcher dispatcher;
-  std::uintptr_t last_timer = 0;
+  std::uint64_t last_timer = 0;
   std::vector<std::unique_ptr<signal_handler>> signals;
   std::vector<std::function<void()>> posted;
 };
@@ -145,19 +146,16 @@
 timer_id event_loop::schedule(duration delay, std::function<void()> callback) {
   const auto id = ++state_->last_timer;
   auto& entry = state_->dispatcher.entries[id];
+  entry.id = id;
   entry.callback = std::move(callback);
-  entry.ace_id =
-      state_->reactor.schedule_timer(&state_->dispatcher, reinterpret_cast<const void*>(id), to_ace(delay));
+  entry.ace_id = state_->reactor.schedule_timer(&state_->dispatcher, &entry, to_ace(delay));
   return timer_id{id};
 }
 
 void event_loop::cancel(timer_id id) {
-  const auto found = state_->dispatcher.entries.find(id.value());
-  if (found == state_->dispatcher.entries.end()) return;
-  state_->reactor.cancel_timer(found->second.ace_id);
-  // The callback is destroyed after the erasure, because it may own other timers.
-  const auto callback = std::move(found->second.callback);
-  state_->dispatcher.entries.erase(found);
+  // The callback is destroyed after the removal, because it may own other timers.
+  const auto node = state_->dispatcher.entries.extract(id.value());
+  if (!node.empty()) state_->reactor.cancel_timer(node.mapped().ace_id);
 }
 
 void event_loop::post(std::function<void()> callback) { state_->posted.push_back(std::move(callback)); }
--- /dev/null
+++ b/packages/net/event_loop_test.cc
@@ -0,0 +1,72 @@
+#include "net/event_loop.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <vector>
+
+using namespace bulrushlift;
+using namespace std::chrono_literals;
+
+// Guards against timers that run early, twice, or in the wrong order.
+TEST_CASE("timers run once, in the order of their times") {
+  event_loop loop;
+  std::vector<int> order;
+  const auto start = loop.now();
+  loop.schedule(20ms, [&] {
+    order.push_back(2);
+    CHECK(loop.now() - start >= 20ms);
+    loop.stop();
+  });
+  loop.schedule(5ms, [&] { order.push_back(1); });
+  loop.post([&] { order.push_back(0); });
+  loop.run_for(10s);
+  CHECK(order == std::vector{0, 1, 2});
+}
+
+// Guards against a cancelled timer that still runs, also when its turn has come.
+TEST_CASE("a timer can be cancelled by a timer of the same time") {
+  event_loop loop;
+  int calls = 0;
+  timer_id second;
+  loop.schedule(1ms, [&] { loop.cancel(second); });
+  second = loop.schedule(1ms, [&] { ++calls; });
+  loop.cancel(timer_id{});
+  loop.run_for(20ms);
+  CHECK(calls <= 1);
+  loop.schedule(5ms, [&] { loop.stop(); });
+  loop.run_for(10s);
+  CHECK(calls <= 1);
+}
+
+// Guards against a timer that uses its destroyed owner.
+TEST_CASE("a scoped timer ends with its owner and can set itself again") {
+  event_loop loop;
+  int calls = 0;
+  {
+    scoped_timer dropped{loop};
+    dropped.set(1ms, [&] { calls += 100; });
+  }
+  scoped_timer timer{loop};
+  timer.set(1ms, [&] {
+    ++calls;
+    timer.set(1ms, [&] {
+      ++calls;
+      loop.stop();
+    });
+  });
+  loop.run_for(10s);
+  CHECK(calls == 2);
+}
+
+// Guards against a termination signal that is lost or handled in the signal context.
+TEST_CASE("signals arrive in the loop") {
+  event_loop loop;
+  bool arrived = false;
+  REQUIRE(loop.on_signal(SIGUSR1, [&] {
+    arrived = true;
+    loop.stop();
+  }));
+  loop.post([] { std::raise(SIGUSR1); });
+  loop.run_for(10s);
+  CHECK(arrived);
+}
--- a/packages/net/http_message.h
+++ b/packages/net/http_message.h
@@ -39,7 +39,7 @@
 };
 
 struct http_request {
-  connection_id connection;  ///< Set by the server; unused in a client.
+  connection_id connection = {};  ///< Set by the server; unused in a client.
   std::string method = "GET";
   std::string target = "/";
   http_headers headers = {};
--- a/packages/net/peer_link.h
+++ b/packages/net/peer_link.h
@@ -29,6 +29,10 @@
   duration max_backoff = std::chrono::seconds{2};
   /// Unsent bytes above which requests are refused.
   std::size_t queued_bytes = 16U << 20U;
+  /// With requests pending and nothing received for this long, the link sends a probe.
+  duration probe_after = std::chrono::milliseconds{250};
+  /// With nothing received for this long after a probe, the link is closed.
+  duration probe_timeout = std::chrono::seconds{1};
   std::uint64_t seed = 1;
 };
 
@@ -96,6 +100,7 @@
 /// The answering side of all links to this process.
 class peer_server {
  public:
+  /// Gets every message but probes, which the server replies to itself.
   using handler = std::function<void(const peer::envelope_t&, peer_responder)>;
 
   peer_server(event_loop& loop, peer_server_limits limits, handler on_message);
@@ -112,6 +117,9 @@
   std::shared_ptr<internal::peer_server_state> state_;
 };
 
+/// @return whether the message has no content, as the probes of a link.
+[[nodiscard]] bool is_probe(const peer::envelope_t& message) noexcept;
+
 /// Conversions between errors and their wire form.
 [[nodiscard]] peer::error_t to_wire(const error& failure);
 [[nodiscard]] error from_wire(const peer::error_t& failure);
--- /dev/null
+++ b/packages/net/tcp_listener.cc
@@ -0,0 +1,99 @@
+#include <ace/Event_Handler.h>
+#include <ace/INET_Addr.h>
+#include <ace/Reactor.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Stream.h>
+#include <fmt/format.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "base/log.h"
+#include "net/tcp_stream.h"
+
+namespace bulrushlift {
+namespace {
+
+constexpr int listen_backlog = 1'024;
+// Bounds the time that new connections take from open ones in one turn.
+constexpr int accepts_per_turn = 64;
+// While descriptors are exhausted, the waiting connection would wake the loop at once.
+constexpr auto accept_pause = std::chrono::milliseconds{100};
+
+}  // namespace
+
+class tcp_listener::accept_handler : public ACE_Event_Handler,
+                                     public std::enable_shared_from_this<accept_handler> {
+ public:
+  accept_handler(event_loop& loop, accept_callback on_accept)
+      : loop_(loop), on_accept_(std::move(on_accept)) {}
+
+  result<net_address> listen(const net_address& address) {
+    if (acceptor_.open(internal::to_ace(address), 1, PF_UNSPEC, listen_backlog) != 0) return failure(address);
+    acceptor_.enable(ACE_NONBLOCK);
+    ACE_INET_Addr bound;
+    if (acceptor_.get_local_addr(bound) != 0) return failure(address);
+    if (loop_.reactor().register_handler(this, ACE_Event_Handler::ACCEPT_MASK) != 0) return failure(address);
+    return internal::from_ace(bound);
+  }
+
+  void close() {
+    on_accept_ = nullptr;
+    if (acceptor_.get_handle() == ACE_INVALID_HANDLE) return;
+    loop_.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    acceptor_.close();
+    loop_.post([self = shared_from_this()] {});
+  }
+
+  [[nodiscard]] ACE_HANDLE get_handle() const override { return acceptor_.get_handle(); }
+
+  int handle_input(ACE_HANDLE /*handle*/) override {
+    const auto self = shared_from_this();
+    for (int i = 0; i < accepts_per_turn; ++i) {
+      ACE_SOCK_Stream stream;
+      if (acceptor_.accept(stream, nullptr, nullptr, false) != 0) {
+        if (errno == EMFILE || errno == ENFILE) pause();
+        break;
+      }
+      stream.enable(ACE_NONBLOCK);
+      if (on_accept_) {
+        on_accept_(stream.get_handle());
+      } else {
+        stream.close();
+      }
+    }
+    return 0;
+  }
+
+  int handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/) override { return 0; }
+
+ private:
+  [[nodiscard]] static tl::unexpected<error> failure(const net_address& address) {
+    return make_error(error_kind::io_error,
+                      fmt::format("cannot listen on {}: {}", address.str(), std::strerror(errno)));
+  }
+
+  void pause() {
+    log_error("accept_paused", {{"reason", "no descriptor is free"}});
+    loop_.reactor().mask_ops(this, ACE_Event_Handler::NULL_MASK, ACE_Reactor::SET_MASK);
+    loop_.schedule(accept_pause, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (!self || self->get_handle() == ACE_INVALID_HANDLE) return;
+      self->loop_.reactor().mask_ops(self.get(), ACE_Event_Handler::ACCEPT_MASK, ACE_Reactor::SET_MASK);
+    });
+  }
+
+  event_loop& loop_;
+  accept_callback on_accept_;
+  ACE_SOCK_Acceptor acceptor_;
+};
+
+tcp_listener::tcp_listener(event_loop& loop, accept_callback on_accept)
+    : handler_(std::make_shared<accept_handler>(loop, std::move(on_accept))) {}
+
+tcp_listener::~tcp_listener() { handler_->close(); }
+
+result<net_address> tcp_listener::listen(const net_address& address) { return handler_->listen(address); }
+void tcp_listener::close() { handler_->close(); }
+
+}  // namespace bulrushlift
