Add child processes and free ports for path tests

Cause: path tests, demonstration and measuring driver all start the real programs on loopback. Change: one small class that starts, reads, signals and reaps a process, and reserved ports below the kernel's own range. Conclusion: the three users share it.

--- /dev/null
+++ b/packages/standins/child_process_test.cc
@@ -0,0 +1,38 @@
+#include "standins/child_process.h"
+
+#include <catch2/catch.hpp>
+#include <csignal>
+#include <set>
+
+namespace bulrushlift {
+namespace {
+
+using std::chrono::seconds;
+
+// Guards against an announced address that is lost when it arrives in pieces.
+TEST_CASE("lines of a child are read whole") {
+  auto child =
+      child_process::start({"/bin/sh", "-c", "printf one; sleep 0.05; echo ' line'; echo two"}, "/dev/null");
+  REQUIRE(child.has_value());
+  CHECK(child->read_line(seconds{10}) == std::string{"one line"});
+  CHECK(child->read_line(seconds{10}) == std::string{"two"});
+  CHECK(child->wait(seconds{10}) == 0);
+}
+
+// Guards against a crashed child that counts as a normal end.
+TEST_CASE("the end of a child tells a signal from an exit") {
+  auto child = child_process::start({"/bin/sh", "-c", "sleep 60"}, "/dev/null");
+  REQUIRE(child.has_value());
+  child->signal(SIGTERM);
+  CHECK(child->wait(seconds{10}) == 128 + SIGTERM);
+  CHECK_FALSE(child->is_running());
+}
+
+TEST_CASE("reserved ports differ") {
+  const auto ports = free_ports(20);
+  REQUIRE(ports.has_value());
+  CHECK(std::set<std::uint16_t>(ports->begin(), ports->end()).size() == 20);
+}
+
+}  // namespace
+}  // namespace bulrushlift
