--- /dev/null
+++ b/packages/standins/database_store.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "base/ids.h"
+
+/// @file
+/// Keys and values of the database stand-in, and its statement language:
+/// `get <key>`, `set <key> <value>`, `add <key> <n>`, `insert <key> <value>`, `list <prefix>`.
+
+namespace bulrushlift::standin {
+
+enum class statement_verb { get, set, add, insert, list };
+
+/// A parsed statement. `key` is the prefix of `list`; `value` is empty for reads.
+struct statement {
+  statement_verb verb = statement_verb::get;
+  std::string key;
+  std::string value;
+
+  friend bool operator==(const statement&, const statement&) = default;
+};
+
+/// @return the statement, or `bad_request` naming the part that is wrong.
+[[nodiscard]] result<statement> parse_statement(std::string_view text);
+
+[[nodiscard]] bool is_write(const statement& parsed) noexcept;
+
+/// Keys with their values, in key order.
+using key_values = std::map<std::string, std::string>;
+/// Keys and values that a statement returned; a write returns the value it stored.
+using statement_rows = std::vector<std::pair<std::string, std::string>>;
+
+/// Committed keys and values with the position of their last change.
+class database_store {
+ public:
+  /// Stores committed changes.
+  void apply(const key_values& changes, log_position at);
+
+  /// @return the value, or null if the key is absent.
+  [[nodiscard]] const std::string* find(const std::string& key) const;
+
+  /// @return the position of the newest change of `key`, or 0.
+  [[nodiscard]] log_position changed_at(const std::string& key) const;
+
+  /// @return the position of the newest change of a key with that prefix, or 0.
+  [[nodiscard]] log_position prefix_changed_at(const std::string& prefix) const;
+
+  [[nodiscard]] const key_values& values() const noexcept { return values_; }
+
+ private:
+  key_values values_;
+  std::map<std::string, log_position> changes_;
+};
+
+/// Evaluates a statement against the store with uncommitted `changes` laid over it. A write
+/// is added to `changes` and leaves the store as it is.
+/// @return the rows, or `statement_failed`, after which `changes` is as before.
+[[nodiscard]] result<statement_rows> evaluate(const statement& parsed, const database_store& store,
+                                              key_values& changes);
+
+}  // namespace bulrushlift::standin
