--- /dev/null
+++ b/packages/fleet/configuration_controller.cc
@@ -0,0 +1,384 @@
+#include "fleet/configuration_controller.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "base/hash.h"
+#include "document/production_record.h"
+
+namespace bulrushlift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t watchers_per_data_centre = 2;
+/// A watch that is this much later than its wait has stopped responding; the store is then read plainly.
+constexpr milliseconds watch_patience{500};
+constexpr milliseconds read_patience{1'000};
+constexpr milliseconds peer_patience{1'000};
+/// A slow store may answer late, and its document still counts. Later answers than this are dropped.
+constexpr seconds call_lifetime{30};
+constexpr std::size_t most_store_calls = 4;
+/// The list lags behind reality, and different readers may see different versions of it. A target stays
+/// leaving for this time after a list that named it, so that an old list cannot give it new work.
+constexpr seconds leaving_memory{30};
+constexpr milliseconds list_interval{2'000};
+/// A VM that does not watch asks one watcher of its data centre in this interval, and any watcher more
+/// often once half of the freshness limit has passed without a confirmation.
+constexpr milliseconds ask_interval{1'000};
+constexpr milliseconds ask_interval_when_ageing{500};
+
+bool contains(const std::vector<vm_id>& names, const vm_id& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+std::string_view name_of(freshness value) noexcept {
+  switch (value) {
+    case freshness::no_document:
+      return "no_document";
+    case freshness::fresh:
+      return "fresh";
+    case freshness::store_down:
+      return "store_down";
+    case freshness::isolated:
+      break;
+  }
+  return "isolated";
+}
+
+std::vector<vm_id> choose_watchers(const data_centre_id& data_centre,
+                                   const std::vector<configuration_member>& members) {
+  std::vector<vm_id> candidates;
+  for (const auto& it : members) {
+    if (it.alive && it.data_centre == data_centre) candidates.push_back(it.name);
+  }
+  return rendezvous_choose(data_centre.str(), candidates, watchers_per_data_centre);
+}
+
+configuration_controller::configuration_controller(const settings& configured, std::uint64_t seed)
+    : self_(configured.vm),
+      data_centre_(configured.data_centre),
+      environment_(configured.environment),
+      timing_(configured.timing),
+      pacer_({configured.limits.platform_calls_per_second, configured.limits.platform_calls_burst,
+              milliseconds{100}, configured.timing.platform_backoff},
+             seed),
+      random_(static_cast<std::minstd_rand::result_type>(seed ^ (seed >> 32U))) {
+  members_changed({});
+}
+
+configuration_actions configuration_controller::tick(time_point now) {
+  configuration_actions actions;
+  give_up_calls(now);
+  start_store_calls(now, actions);
+  start_list(now, actions);
+  start_peer_calls(now, actions);
+  return actions;
+}
+
+void configuration_controller::members_changed(std::vector<configuration_member> members) {
+  members_ = std::move(members);
+  const auto own =
+      std::find_if(members_.begin(), members_.end(), [this](const auto& it) { return it.name == self_; });
+  if (own == members_.end()) {
+    members_.push_back({self_, data_centre_, true});
+  } else {
+    own->alive = true;
+  }
+  std::erase_if(peers_, [this](const auto& entry) { return !is_reached(entry.first); });
+}
+
+bool configuration_controller::is_watcher() const {
+  return contains(choose_watchers(data_centre_, members_), self_);
+}
+
+bool configuration_controller::is_store_call_running() const {
+  return std::any_of(store_calls_.begin(), store_calls_.end(),
+                     [](const auto& entry) { return !entry.second.overdue; });
+}
+
+void configuration_controller::give_up_calls(time_point now) {
+  for (auto& [id, call] : store_calls_) {
+    const duration patience = call.watch ? timing_.watch_timeout + watch_patience : read_patience;
+    if (call.overdue || now - call.sent_at < patience) continue;
+    call.overdue = true;
+    read_without_watch_ = true;
+    // After a silent watch the plain read follows at once: the store may serve new connections.
+    if (!call.watch) pacer_.failed(now);
+  }
+  std::erase_if(store_calls_, [now](const auto& it) { return now - it.second.sent_at > call_lifetime; });
+  std::erase_if(list_calls_, [now](const auto& it) { return now - it.second > call_lifetime; });
+  std::erase_if(peer_calls_, [now](const auto& it) { return now - it.second.sent_at > peer_patience; });
+}
+
+void configuration_controller::start_store_calls(time_point now, configuration_actions& actions) {
+  // Without a document the store is asked by every VM: a restarted VM must not wait for its peers.
+  if (!is_watcher() && document_.generation() != generation_id{}) return;
+  if (is_store_call_running() || !pacer_.try_call(now)) return;
+  if (store_calls_.size() >= most_store_calls) store_calls_.erase(store_calls_.begin());
+  const bool watch = store_version_.has_value() && !read_without_watch_;
+  const auto call = next_call();
+  store_calls_.emplace(call, store_call{now, watch, false, document_.generation()});
+  read_store action{call, production_path(environment_), std::nullopt, milliseconds{0}};
+  if (watch) {
+    action.watch_after = store_version_;
+    action.wait = timing_.watch_timeout;
+  }
+  actions.emplace_back(std::move(action));
+}
+
+void configuration_controller::start_list(time_point now, configuration_actions& actions) {
+  if (!is_watcher() || now < next_list_ || !pacer_.try_call(now)) return;
+  next_list_ = now + list_interval;
+  const auto call = next_call();
+  list_calls_.emplace(call, now);
+  actions.emplace_back(list_vms{call});
+}
+
+std::vector<vm_id> configuration_controller::peers_to_ask(time_point now) const {
+  const bool ageing = !confirmed_at_ || now - *confirmed_at_ > timing_.freshness_limit / 2;
+  if (!ageing) {
+    if (is_watcher()) return {};
+    return choose_watchers(data_centre_, members_);
+  }
+  std::vector<vm_id> peers;
+  for (const auto& it : members_) {
+    if (it.alive && it.name != self_ && contains(choose_watchers(it.data_centre, members_), it.name)) {
+      peers.push_back(it.name);
+    }
+  }
+  return peers;
+}
+
+void configuration_controller::start_peer_calls(time_point now, configuration_actions& actions) {
+  if (now < next_ask_) return;
+  const auto peers = peers_to_ask(now);
+  const bool ageing = !confirmed_at_ || now - *confirmed_at_ > timing_.freshness_limit / 2;
+  next_ask_ = now + (ageing ? ask_interval_when_ageing : ask_interval);
+  if (peers.empty()) return;
+  std::uniform_int_distribution<std::size_t> choose{0, peers.size() - 1};
+  ask(now, peers[choose(random_)], actions);
+}
+
+void configuration_controller::ask(time_point now, const vm_id& peer, configuration_actions& actions) {
+  const auto call = next_call();
+  peer_calls_.emplace(call, peer_call{peer, now});
+  actions.emplace_back(ask_peer{call, peer, document_.generation()});
+}
+
+configuration_actions configuration_controller::store_answered(time_point now, configuration_call call,
+                                                               const store_answer& answer) {
+  configuration_actions actions;
+  const auto entry = store_calls_.extract(call);
+  if (entry.empty()) return actions;
+  const auto& sent = entry.mapped();
+  if (const auto* object = std::get_if<store_object>(&answer)) {
+    take_store_object(now, sent, *object, actions);
+  } else if (std::holds_alternative<store_unchanged>(answer) && sent.watch) {
+    pacer_.succeeded();
+    read_without_watch_ = false;
+    // The watch spoke of the generation at its start. A peer may have brought a higher one since.
+    if (sent.generation == document_.generation()) confirm(sent.sent_at);
+  } else {
+    pacer_.failed(now);
+  }
+  start_store_calls(now, actions);
+  return actions;
+}
+
+void configuration_controller::take_store_object(time_point now, const store_call& call,
+                                                 const store_object& object, configuration_actions& actions) {
+  const auto record = parse_production_record(object.value);
+  if (!record) {
+    pacer_.failed(now);
+    actions.emplace_back(reject_document{document_.generation(), "store", record.error()});
+    return;
+  }
+  const auto current = document_.generation();
+  const bool same = record->generation == current && record->text == text_;
+  if (!same && !accept(record->generation, record->text, "store", call.sent_at, actions)) {
+    pacer_.failed(now);
+    return;
+  }
+  pacer_.succeeded();
+  read_without_watch_ = false;
+  store_version_ = object.version;
+  if (same) confirm(call.sent_at);
+}
+
+void configuration_controller::store_failed(time_point now, configuration_call call) {
+  const bool known = store_calls_.erase(call) + list_calls_.erase(call) > 0;
+  if (known) pacer_.failed(now);
+}
+
+bool configuration_controller::accept(generation_id generation, std::string_view text,
+                                      const std::string& source, std::optional<time_point> confirmed_at,
+                                      configuration_actions& actions) {
+  if (generation <= document_.generation()) {
+    actions.emplace_back(reject_document{
+        generation, source, {error_kind::conflict, "the generation is not above the one in force"}});
+    return false;
+  }
+  auto parsed = parse_document(text, generation);
+  if (!parsed) {
+    actions.emplace_back(reject_document{generation, source, parsed.error()});
+    return false;
+  }
+  document_ = *std::move(parsed);
+  text_ = text;
+  confirmed_at_ = confirmed_at;
+  // The version belongs to the document before; the next call reads without a watch.
+  store_version_.reset();
+  actions.emplace_back(apply_document{document_, source});
+  publish_leaving(actions);
+  return true;
+}
+
+void configuration_controller::confirm(std::optional<time_point> at) {
+  if (at && (!confirmed_at_ || *at > *confirmed_at_)) confirmed_at_ = at;
+}
+
+void configuration_controller::note_peer(const vm_id& peer, generation_id generation,
+                                         std::optional<time_point> confirmed_at) {
+  auto& state = peers_[peer];
+  if (generation != state.generation) state = {generation, std::nullopt};
+  if (confirmed_at && (!state.confirmed_at || *confirmed_at > *state.confirmed_at)) {
+    state.confirmed_at = confirmed_at;
+  }
+}
+
+configuration_actions configuration_controller::peer_reported(time_point now, const vm_id& peer,
+                                                              const configuration_status& status,
+                                                              std::optional<time_point> asked_at) {
+  configuration_actions actions;
+  std::optional<time_point> confirmed_at;
+  if (asked_at && status.confirmed_age) confirmed_at = *asked_at - *status.confirmed_age;
+  note_peer(peer, status.generation, confirmed_at);
+  if (status.generation == document_.generation()) confirm(confirmed_at);
+  const bool asked = std::any_of(peer_calls_.begin(), peer_calls_.end(),
+                                 [&peer](const auto& entry) { return entry.second.peer == peer; });
+  if (status.generation > document_.generation() && !asked) ask(now, peer, actions);
+  return actions;
+}
+
+configuration_actions configuration_controller::peer_answered(time_point now, configuration_call call,
+                                                              const peer_document& answer) {
+  configuration_actions actions;
+  const auto entry = peer_calls_.extract(call);
+  if (entry.empty()) return actions;
+  const auto& [peer, sent_at] = entry.mapped();
+  std::optional<time_point> confirmed_at;
+  if (answer.status.confirmed_age) confirmed_at = sent_at - *answer.status.confirmed_age;
+  note_peer(peer, answer.status.generation, confirmed_at);
+  const auto offered = answer.status.generation;
+  if (offered == document_.generation()) {
+    confirm(confirmed_at);
+  } else if (offered > document_.generation() && !answer.text.empty()) {
+    accept(offered, answer.text, peer.str(), confirmed_at, actions);
+  }
+  for (const auto& it : answer.leaving_targets) listed_leaving_.emplace(it, now);
+  note_leaving(now, answer.leaving_targets, actions);
+  return actions;
+}
+
+void configuration_controller::peer_failed(time_point /*now*/, configuration_call call) {
+  peer_calls_.erase(call);
+}
+
+configuration_actions configuration_controller::vms_listed(time_point now, configuration_call call,
+                                                           const std::vector<platform_vm>& vms) {
+  configuration_actions actions;
+  if (list_calls_.erase(call) == 0) return actions;
+  pacer_.succeeded();
+  std::vector<target_id> named;
+  for (const auto& service : document_.services()) {
+    for (const auto& target : service.targets) {
+      const auto is_leaving = [&target](const platform_vm& it) {
+        return it.leaving && (it.name == target.name.str() || it.address == target.address);
+      };
+      if (std::any_of(vms.begin(), vms.end(), is_leaving)) named.push_back(target.name);
+    }
+  }
+  for (const auto& it : named) listed_leaving_.insert_or_assign(it, now);
+  note_leaving(now, named, actions);
+  return actions;
+}
+
+void configuration_controller::note_leaving(time_point now, const std::vector<target_id>& named,
+                                            configuration_actions& actions) {
+  std::erase_if(listed_leaving_, [&](const auto& entry) {
+    return now - entry.second > leaving_memory &&
+           std::find(named.begin(), named.end(), entry.first) == named.end();
+  });
+  publish_leaving(actions);
+}
+
+void configuration_controller::publish_leaving(configuration_actions& actions) {
+  auto leaving = leaving_targets();
+  if (leaving == published_leaving_) return;
+  published_leaving_ = leaving;
+  actions.emplace_back(apply_leaving_targets{std::move(leaving)});
+}
+
+std::vector<target_id> configuration_controller::leaving_targets() const {
+  std::vector<target_id> leaving;
+  for (const auto& service : document_.services()) {
+    for (const auto& target : service.targets) {
+      if (target.leaving || listed_leaving_.contains(target.name)) leaving.push_back(target.name);
+    }
+  }
+  std::sort(leaving.begin(), leaving.end());
+  return leaving;
+}
+
+bool configuration_controller::is_recent(time_point now, std::optional<time_point> confirmed_at) const {
+  return confirmed_at && now - *confirmed_at < timing_.freshness_limit;
+}
+
+bool configuration_controller::is_reached(const vm_id& peer) const {
+  return std::any_of(members_.begin(), members_.end(),
+                     [&peer](const auto& it) { return it.alive && it.name == peer; });
+}
+
+bool configuration_controller::is_store_down_for_majority(time_point now) const {
+  for (const auto& [name, state] : peers_) {
+    if (is_recent(now, state.confirmed_at)) return false;
+    // A key may be revoked in a generation that this VM knows of and does not have.
+    if (state.generation > document_.generation()) return false;
+  }
+  const auto& named = document_.vms();
+  const auto reached =
+      std::count_if(named.begin(), named.end(), [this](const vm& it) { return is_reached(it.name); });
+  return static_cast<std::size_t>(reached) * 2 > named.size();
+}
+
+freshness configuration_controller::freshness_at(time_point now) const {
+  if (document_.generation() == generation_id{}) return freshness::no_document;
+  if (is_recent(now, confirmed_at_)) return freshness::fresh;
+  const bool within_outage = confirmed_at_ && now - *confirmed_at_ < timing_.outage_limit;
+  if (within_outage && is_store_down_for_majority(now)) return freshness::store_down;
+  return freshness::isolated;
+}
+
+configuration_status configuration_controller::status_at(time_point now) const {
+  configuration_status status{document_.generation(), std::nullopt};
+  if (confirmed_at_) status.confirmed_age = now - *confirmed_at_;
+  return status;
+}
+
+peer_document configuration_controller::answer_peer(time_point now, generation_id generation) const {
+  peer_document answer{status_at(now), {}, leaving_targets()};
+  if (document_.generation() > generation) answer.text = text_;
+  return answer;
+}
+
+configuration_call configuration_controller::next_call() noexcept {
+  last_call_ = last_call_.next();
+  return last_call_;
+}
+
+}  // namespace bulrushlift
