--- /dev/null
+++ b/packages/limits/fair_queue.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/ids.h"
+
+/// @file
+/// Start-time fair queueing of the statements of one service.
+///
+/// Each class (read, write) has its own queue, virtual time and slots. A
+/// statement of customer c gets the start tag max(virtual time, finish tag of
+/// c's previous statement) when it becomes the first of its customer, and the
+/// finish tag start + cost / weight. `pop` takes the smallest start tag and sets
+/// the virtual time to it. Hence, while two customers a and b are both
+/// backlogged in a class, their normalised service differs by at most
+/// `cost_max / weight_a + cost_max / weight_b`, whatever else is queued, and a
+/// customer that was idle gains no credit.
+///
+/// Statements of open transactions go before the other statements of their own
+/// customer. They hold a connection already, so `pop` can be restricted to them
+/// while no connection is free; otherwise they would wait for connections that
+/// only their own progress releases.
+///
+///     fair_queue queue{{}};
+///     if (auto queued = queue.push({id, customer, request_class::read, deadline}, now); !queued)
+///     refuse(...); while (has_free_slot()) if (auto next = queue.pop(request_class::read, pop_from::all,
+///     now)) run(*next); queue.on_finished(request_class::read, elapsed);
+
+namespace bulrushlift {
+
+enum class request_class : std::uint8_t { read, write };
+
+/// Identifies a queued statement; chosen by the caller, unique in the queue.
+using queue_ticket = number_id<struct queue_ticket_tag>;
+
+/// Weight of a customer, at least 1. A customer without an entry has weight 1.
+using customer_weights = std::map<customer_id, std::uint32_t>;
+
+struct fair_queue_options {
+  std::size_t customer_bound = 64;  ///< Queued statements of one customer, both classes together.
+  std::size_t total_bound = 1'024;  ///< Queued statements of all customers, both classes together.
+  /// Service time assumed before the first statement of a class has finished.
+  duration initial_service_time = std::chrono::milliseconds{1};
+};
+
+/// Rules that a test disables one at a time to prove that its oracle notices.
+struct fair_queue_test_faults {
+  bool ignores_weights = false;
+  bool ignores_bounds = false;
+  bool blocks_transactions = false;  ///< Transactions queue behind other statements.
+};
+
+/// A statement that waits for a slot.
+struct queued_statement {
+  queue_ticket ticket;
+  customer_id customer;
+  request_class kind = request_class::read;
+  time_point deadline;  ///< It must have finished by then.
+  bool is_in_transaction = false;
+  /// Relative cost; 1 for a statement, more for a batch. At least 1.
+  std::uint32_t cost = 1;
+};
+
+/// Which statements `pop` may take.
+enum class pop_from {
+  all,
+  transactions,  ///< Only statements of open transactions; no connection is free.
+};
+
+/// The queue of one service.
+class fair_queue {
+ public:
+  explicit fair_queue(fair_queue_options options, fair_queue_test_faults faults = {});
+
+  /// Replaces the weights. Statements that are first of their customer keep
+  /// their tags; later ones get the new weight.
+  void set_weights(customer_weights weights);
+
+  /// Tells how many statements of a class can run at once. 0 means that none
+  /// can at present (for example, no primary); deadlines are then not used for
+  /// early refusal, because the time of recovery is unknown.
+  void set_slots(request_class kind, std::size_t slots);
+
+  /// Queues a statement.
+  /// @return nothing; or `overloaded`, not run, with a retry time, if the
+  ///   customer's bound or the total bound is reached or if the statement is
+  ///   not expected to finish before its deadline.
+  [[nodiscard]] result<void> push(queued_statement statement, time_point now);
+
+  /// Takes the next statement that has not reached its deadline.
+  /// @return its ticket, or nothing if no permitted statement is queued.
+  [[nodiscard]] std::optional<queue_ticket> pop(request_class kind, pop_from from, time_point now);
+
+  /// Removes a statement, for example because its caller left.
+  /// @return whether it was queued.
+  bool remove(queue_ticket ticket);
+
+  /// Removes the statements whose deadline is at or before `now`.
+  /// @return their tickets; none of them ran.
+  [[nodiscard]] std::vector<queue_ticket> expire(time_point now);
+
+  /// @return the earliest deadline of a queued statement.
+  [[nodiscard]] std::optional<time_point> next_deadline() const;
+
+  /// Tells how long a statement of a class occupied its slot.
+  void on_finished(request_class kind, duration service_time);
+
+  /// @return the expected time from now until a statement of the customer that
+  ///   were queued now would finish.
+  [[nodiscard]] duration expected_time(const customer_id& customer, request_class kind) const;
+
+  [[nodiscard]] std::size_t size() const noexcept { return total_; }
+  [[nodiscard]] std::size_t size(const customer_id& customer) const;
+
+ private:
+  // Tags are in units of cost, scaled so that division by a weight loses little.
+  using virtual_time = std::uint64_t;
+
+  struct flow {
+    std::deque<queued_statement> transactions;
+    std::deque<queued_statement> others;
+    virtual_time finish = 0;  ///< Finish tag of the last statement taken.
+    virtual_time start = 0;   ///< Start tag of the first statement queued.
+
+    [[nodiscard]] std::size_t size() const noexcept { return transactions.size() + others.size(); }
+  };
+
+  struct class_queue {
+    std::map<customer_id, flow> flows;
+    virtual_time now = 0;
+    std::size_t slots = 1;
+    duration service_time{};
+  };
+
+  [[nodiscard]] class_queue& queue_of(request_class kind) noexcept;
+  [[nodiscard]] const class_queue& queue_of(request_class kind) const noexcept;
+  [[nodiscard]] std::uint32_t weight_of(const customer_id& customer) const;
+  [[nodiscard]] std::optional<error> refusal(const queued_statement& statement, time_point now) const;
+  void forget_idle_flows(class_queue& queue);
+
+  template <class Predicate>
+  std::vector<queue_ticket> remove_if(Predicate&& predicate);
+
+  fair_queue_options options_;
+  fair_queue_test_faults faults_;
+  customer_weights weights_;
+  std::array<class_queue, 2> queues_;
+  std::size_t total_ = 0;
+};
+
+}  // namespace bulrushlift
