--- /dev/null
+++ b/packages/database/transaction_table.h
@@ -0,0 +1,159 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/ids.h"
+#include "database/pool_controller.h"
+#include "session/transaction_id.h"
+
+/// @file
+/// The open transactions of the services that this VM owns. A transaction pins
+/// one connection of one target in one term, from `begin` until the target has
+/// confirmed its end or the connection is closed.
+
+namespace bulrushlift {
+
+/// Requests of a transaction.
+enum class transaction_step { begin, statement, commit, rollback };
+
+struct transaction_options {
+  /// Longest time without a request before the transaction is rolled back.
+  duration idle_limit = std::chrono::seconds{10};
+  /// Time for the target to confirm a rollback that the table ordered.
+  duration rollback_timeout = std::chrono::seconds{1};
+  /// Open transactions of one customer on this VM.
+  std::size_t customer_limit = 64;
+  /// Ended transactions that are remembered for a true answer to later requests.
+  std::size_t ended_limit = 65'536;
+};
+
+/// Where the requests of a transaction run.
+struct transaction_place {
+  target_id target;
+  connection_id connection;
+
+  friend bool operator==(const transaction_place&, const transaction_place&) = default;
+  friend auto operator<=>(const transaction_place&, const transaction_place&) = default;
+};
+
+/// How an attempt of a transaction's request ended.
+enum class step_result {
+  confirmed,  ///< The target did it.
+  failed,     ///< The target answered that the statement failed; the transaction is open.
+  refused,    ///< The target answered that it did not do it, for example for its term.
+  not_sent,   ///< No byte left.
+  lost,       ///< Bytes may have left; no answer, and the connection is closed.
+};
+
+/// Return the connection to its pool: `pool_controller::release`.
+struct release_place {
+  transaction_place place;
+};
+/// Close the connection: `pool_controller::discard`.
+struct discard_place {
+  transaction_place place;
+};
+/// Send a rollback on the connection and report `on_rollback_result`.
+struct order_rollback {
+  transaction_id transaction;
+  transaction_place place;
+  time_point deadline;
+};
+/// The request of `ticket` ended; answer its caller, without `cause` with success.
+struct answer_step {
+  ticket_id ticket;
+  std::optional<error> cause;
+};
+
+using transaction_action = std::variant<release_place, discard_place, order_rollback, answer_step>;
+using transaction_actions = std::vector<transaction_action>;
+
+/// Answer to a request for a transaction that this process does not have.
+/// @return `transaction_lost`. Its outcome is `unknown` for a commit, since an earlier commit of the same
+///     transaction may have reached the target.
+[[nodiscard]] error error_for_missing(transaction_step step);
+
+/// Table of the transactions of one process.
+class transaction_table {
+ public:
+  transaction_table(vm_id self, incarnation_id incarnation, transaction_options options = {})
+      : self_(std::move(self)), incarnation_(incarnation), options_(options) {}
+
+  /// Enters a transaction whose begin request has just been started at `place`.
+  /// @param ticket of the begin request.
+  /// @return its id, or `overloaded` at the customer's limit; then the begin must not be sent, so ask
+  ///     `check_begin` before the connection is taken.
+  [[nodiscard]] result<transaction_id> begin(const customer_id& customer, const service_id& service,
+                                             term_id term, const transaction_place& place, ticket_id ticket,
+                                             time_point now);
+  [[nodiscard]] result<void> check_begin(const customer_id& customer) const;
+
+  /// Reserves the transaction for a statement, commit or rollback.
+  /// @param id decoded for the customer of the request.
+  /// @return the place to send to; or `transaction_lost`, `transaction_unknown`, or `conflict` when
+  ///     another request of the transaction runs.
+  [[nodiscard]] result<transaction_place> start_step(const transaction_id& id, transaction_step step,
+                                                     ticket_id ticket, time_point now);
+
+  /// The running request of the transaction ended.
+  /// @param cause error from the target or the pool, for the caller; ignored when confirmed.
+  [[nodiscard]] transaction_actions on_step_result(const transaction_id& id, ticket_id ticket,
+                                                   step_result value, std::optional<error> cause,
+                                                   time_point now);
+  [[nodiscard]] transaction_actions on_rollback_result(const transaction_id& id, step_result value,
+                                                       time_point now);
+
+  /// The connection of a transaction that had no request running was lost.
+  [[nodiscard]] transaction_actions on_place_lost(const transaction_place& place, time_point now);
+
+  /// Ends the transactions of lower terms: they cannot commit any more.
+  [[nodiscard]] transaction_actions on_term_changed(const service_id& service, term_id term, time_point now);
+
+  /// Ends idle transactions beyond the idle limit. Call at `next_timer`.
+  [[nodiscard]] transaction_actions on_timer(time_point now);
+
+  /// Ends all transactions at the end of the drain time.
+  [[nodiscard]] transaction_actions end_all(time_point now);
+
+  [[nodiscard]] std::optional<time_point> next_timer() const;
+  /// @return transactions that are not ended.
+  [[nodiscard]] std::size_t size() const noexcept { return open_.size(); }
+
+ private:
+  enum class phase { beginning, idle, running, committing, rolling_back, ordered_rollback };
+  enum class ending { committed, rolled_back, lost, unknown };
+  struct record {
+    transaction_place place;
+    phase state = phase::beginning;
+    ticket_id ticket;
+    time_point idle_since{};
+    time_point deadline{};  ///< Of an ordered rollback.
+  };
+  using record_map = std::map<transaction_id, record>;
+
+  void end(record_map::iterator it, ending how);
+  [[nodiscard]] error ended_error(ending how, transaction_step step) const;
+  void lose(record_map::iterator it, bool is_place_closed, transaction_actions& actions);
+  void roll_back(record_map::iterator it, time_point now, transaction_actions& actions);
+
+  vm_id self_;
+  incarnation_id incarnation_;
+  transaction_options options_;
+  std::uint64_t last_counter_ = 0;
+  record_map open_;
+  std::map<transaction_place, transaction_id> places_;
+  std::map<customer_id, std::size_t> open_by_customer_;
+  std::map<transaction_id, ending> ended_;
+  std::deque<transaction_id> ended_order_;
+};
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/session/authenticator.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/error.h"
+
+/// @file
+/// Authentication of the texts that callers carry for the fleet: session
+/// tokens and transaction ids.
+
+namespace bulrushlift {
+
+/// Signs with the first of several secrets and verifies with all of them, so
+/// that secrets can be rotated: add the new one last on every VM, move it to
+/// the front, then remove the old one.
+class authenticator {
+ public:
+  /// Bytes of the truncated HMAC-SHA-256.
+  static constexpr std::size_t mac_size = 16;
+  /// Shorter secrets can be guessed from one signed text.
+  static constexpr std::size_t minimum_secret_size = 16;
+
+  /// @param secrets at least one, each of `minimum_secret_size` bytes or more.
+  /// @return `invalid_settings` when the secrets do not meet these bounds.
+  [[nodiscard]] static result<authenticator> create(std::vector<std::string> secrets);
+
+  /// @param purpose separates kinds of text, so that none passes as another.
+  /// @return base64url of `content` and its authentication code.
+  [[nodiscard]] std::string seal(std::string_view purpose, std::string_view content) const;
+
+  /// @return the content, or nothing unless `text` was sealed for `purpose` with one of the secrets.
+  [[nodiscard]] std::optional<std::string> open(std::string_view purpose, std::string_view text) const;
+
+ private:
+  explicit authenticator(std::vector<std::string> secrets) : secrets_(std::move(secrets)) {}
+
+  std::vector<std::string> secrets_;
+};
+
+}  // namespace bulrushlift
