--- a/packages/session/session_token.h
+++ b/packages/session/session_token.h
@@ -68,6 +68,13 @@
   std::vector<session_entry> entries_;
 };
 
+/// Rules that tests break, to prove that their checks find the fault.
+struct token_options {
+  /// Test only: accept the token of another customer.
+  bool skips_customer_check = false;
+};
+
+/// @param token its names are within `maximum_name_size`.
 /// @return the opaque text of `token`, in base64url.
 [[nodiscard]] std::string encode_session_token(const session_token& token, const authenticator& secrets);
 
@@ -75,6 +82,7 @@
 /// @param customer the authenticated customer of the request.
 /// @return `token_invalid` if the text is not authentic, malformed or of another customer.
 [[nodiscard]] result<session_token> decode_session_token(std::string_view text, const customer_id& customer,
-                                                         const authenticator& secrets);
+                                                         const authenticator& secrets,
+                                                         token_options options = {});
 
 }  // namespace bulrushlift
