--- a/packages/base/ids.h
+++ b/packages/base/ids.h
@@ -65,6 +65,8 @@
 using log_position = number_id<struct position_tag>;
 /// Generation of the environment document in force; 0 means none.
 using generation_id = number_id<struct generation_tag>;
+/// Version of an object in the platform's store; 0 means that the object does not exist.
+using object_version = number_id<struct object_version_tag>;
 /// Start count of a process; a later process with the same VM name has a higher one.
 using incarnation_id = number_id<struct incarnation_tag>;
 
--- a/packages/fleet/configuration_controller.h
+++ b/packages/fleet/configuration_controller.h
@@ -32,9 +32,6 @@
 /// Identifies one call of this controller to the store or to a peer.
 using configuration_call = number_id<struct configuration_call_tag>;
 
-/// Version of an object in the platform's store.
-using object_version = number_id<struct object_version_tag>;
-
 /// Whether the document in force may serve.
 enum class freshness {
   no_document,  ///< Nothing is served.
