Name HTTP connections apart from pool connections

Cause: two packages used the name connection_id for different things. Change: http_connection_id; the server reports its unsent bytes. Conclusion: ids of callers' and targets' connections can't be mixed up.

--- a/packages/net/http_message.h
+++ b/packages/net/http_message.h
@@ -15,7 +15,7 @@
 namespace bulrushlift {
 
 /// Names a connection of one server for the life of the process.
-using connection_id = number_id<struct connection_tag>;
+using http_connection_id = number_id<struct http_connection_tag>;
 
 /// Header fields in the order of arrival.
 class http_headers {
@@ -39,7 +39,7 @@
 };
 
 struct http_request {
-  connection_id connection = {};  ///< Set by the server; unused in a client.
+  http_connection_id connection = {};  ///< Set by the server; unused in a client.
   std::string method = "GET";
   std::string target = "/";
   http_headers headers = {};
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -37,7 +37,7 @@
 /// One caller: reads requests, keeps the order of the answers, applies the bounds.
 class server_connection : public tcp_stream_observer, public std::enable_shared_from_this<server_connection> {
  public:
-  server_connection(server_state& server, connection_id id)
+  server_connection(server_state& server, http_connection_id id)
       : server_(&server),
         id_(id),
         stream_(server.loop, *this),
@@ -121,6 +121,8 @@
     callback(id_);
   }
 
+  [[nodiscard]] std::size_t queued_bytes() const noexcept { return stream_.queued_bytes(); }
+
   /// The server is gone: closes without a report.
   void abandon() {
     server_ = nullptr;
@@ -219,7 +221,7 @@
   }
 
   server_state* server_;
-  connection_id id_;
+  http_connection_id id_;
   tcp_stream stream_;
   http_request_parser parser_;
   std::string input_;
@@ -257,7 +259,7 @@
 }
 
 void accept_connection(server_state& state, int handle) {
-  const connection_id id{++state.last_id};
+  const http_connection_id id{++state.last_id};
   auto connection = std::make_shared<server_connection>(state, id);
   if (!connection->adopt(handle) || state.connections.size() >= state.limits.connections) {
     connection->abandon();
@@ -305,6 +307,12 @@
 }
 
 std::size_t http_server::connection_count() const noexcept { return state_->connections.size(); }
+std::size_t http_server::queued_bytes() const noexcept {
+  std::size_t sum = 0;
+  for (const auto& [id, connection] : state_->connections) sum += connection->queued_bytes();
+  return sum;
+}
+
 std::size_t http_server::pending_requests() const noexcept { return state_->pending; }
 
 }  // namespace bulrushlift
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -67,7 +67,7 @@
 class http_server {
  public:
   using handler = std::function<void(const http_request&, http_responder)>;
-  using close_callback = std::function<void(connection_id)>;
+  using close_callback = std::function<void(http_connection_id)>;
 
   http_server(event_loop& loop, http_limits limits, handler on_request);
   http_server(const http_server&) = delete;
@@ -88,6 +88,8 @@
   void close_after_answers();
 
   [[nodiscard]] std::size_t connection_count() const noexcept;
+  /// @return unsent bytes of answers on all connections.
+  [[nodiscard]] std::size_t queued_bytes() const noexcept;
   /// @return requests that were passed to the handler and are not answered.
   [[nodiscard]] std::size_t pending_requests() const noexcept;
 
--- a/packages/net/http_test.cc
+++ b/packages/net/http_test.cc
@@ -64,7 +64,7 @@
     auto bound = server.listen({"127.0.0.1", 0});
     REQUIRE(bound);
     address = *bound;
-    server.on_close([this](connection_id) { ++closed; });
+    server.on_close([this](http_connection_id) { ++closed; });
   }
 
   std::vector<http_responder> later;
