Add the group controller

Cause: nobody else detects a lost primary, promotes a replica or decides when a write may be acknowledged. Change: polls and long polls, loss detection, fence, promote and follow, planned hand-over, freshness samples, acknowledgement by a second member; a simulated network with controllers, members, callers and an oracle.

--- a/packages/database/group_controller.h
+++ b/packages/database/group_controller.h
@@ -57,7 +57,7 @@
 };
 
 /// This VM became or ceased to be the owner of the service. A VM that is not the owner
-/// sends nothing; its waiting writes end as unknown.
+/// neither polls nor promotes; it keeps its long polls until its last write has ended.
 struct ownership_changed {
   bool is_owner = false;
 };
@@ -118,7 +118,8 @@
   request_id request;
 };
 
-/// The primary answered a write or a commit. The controller then ends the request with
+/// The primary answered a write, a commit, a `resolve` or a read. For a read no `write_sent`
+/// is needed. The controller then ends the request with
 /// exactly one of `acknowledge_write` and `end_write_unknown`.
 struct write_answered {
   request_id request;
--- a/packages/database/group_options.h
+++ b/packages/database/group_options.h
@@ -13,6 +13,15 @@
 
 namespace bulrushlift {
 
+/// Test-only: makes the controller break one rule, to prove that the checks notice.
+enum class broken_group_rule {
+  none,
+  no_fencing,         ///< Promotes after one member is fenced.
+  promote_oldest,     ///< Promotes the fenced member with the oldest log point.
+  acknowledge_alone,  ///< Acknowledges without a second member.
+  count_any_term,     ///< Counts a second member whatever the term of its point.
+};
+
 /// Immutable settings; the defaults are those of the design page.
 struct group_options {
   duration tick_interval = std::chrono::milliseconds{10};
@@ -41,6 +50,8 @@
   /// that a replica that lags by less than that has a known age.
   std::size_t sample_limit = 64;
 
+  broken_group_rule broken_rule = broken_group_rule::none;
+
   friend bool operator==(const group_options&, const group_options&) = default;
 };
 
@@ -56,6 +67,9 @@
   group_options_builder& hand_over_wait(duration value) noexcept;
   group_options_builder& sample_limit(std::size_t value) noexcept;
 
+  /// Test-only.
+  group_options_builder& broken_rule(broken_group_rule value) noexcept;
+
   /// @return the options, or `invalid_settings` naming the setting that is not positive
   ///   or contradicts another.
   [[nodiscard]] result<group_options> build() const;
--- a/packages/database/group_view.h
+++ b/packages/database/group_view.h
@@ -43,7 +43,7 @@
   std::string address;  ///< "ip:port", from the document.
   data_centre_id data_centre;
   bool is_leaving = false;
-  bool is_reachable = false;                ///< The newest poll that ended was answered.
+  bool is_reachable = false;                ///< It answers; false after a verified refusal or failed polls.
   target_role role = target_role::replica;  ///< For `term`.
   term_id term;                             ///< Highest current term reported.
   log_point point;                          ///< Newest log point reported, also by statement answers.
--- /dev/null
+++ b/packages/database/simulated_network_fake.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <utility>
+#include <vector>
+
+#include "base/clock.h"
+
+/// @file
+/// Simulated time and a network whose links and nodes fail on command.
+
+namespace bulrushlift::simulation {
+
+using node_id = std::size_t;
+
+/// Runs callbacks in the order of simulated time; the same seed gives the same run.
+class simulated_network {
+ public:
+  using callback = std::function<void()>;
+
+  simulated_network(std::size_t nodes, std::uint32_t seed);
+
+  /// Real time of the simulation; nodes see it through their own clocks.
+  [[nodiscard]] time_point now() const noexcept { return now_; }
+  /// @return the node's clock, which runs at its own rate.
+  [[nodiscard]] time_point clock(node_id node) const;
+  /// @param permille deviation of the rate, for example -10 for a clock that is 1 % slow.
+  void set_clock_rate(node_id node, int permille);
+
+  /// Runs everything that is due up to that time.
+  void advance(duration step);
+
+  /// Runs `run` after `delay`, on no node: for the test's own steps.
+  void schedule(duration delay, callback run);
+  /// Runs `work` on the node after `delay`; later if the node is paused, never if it restarts first.
+  void after(node_id node, duration delay, callback work);
+  /// Runs `work` on the node at once, or when its pause ends.
+  void run_on(node_id node, callback work);
+
+  /// Delivers a message unless the link is cut when it is sent or arrives.
+  /// @param on_down runs at the sender, after the way back, if the receiver is down.
+  /// @param may_repeat whether the fault "duplicate" applies to this message.
+  void send(node_id from, node_id to, callback on_arrival, callback on_down = {}, bool may_repeat = true);
+
+  // Faults.
+
+  void cut(node_id from, node_id to) { links_[{from, to}].is_cut = true; }
+  void set_delay(node_id from, node_id to, duration delay) { links_[{from, to}].delay = delay; }
+  void duplicate_next(node_id from, node_id to) { ++links_[{from, to}].duplicates; }
+  void drop_next(node_id from, node_id to) { ++links_[{from, to}].drops; }
+  void heal_links() { links_.clear(); }
+  void pause(node_id node) { nodes_[node].is_paused = true; }
+  void resume(node_id node);
+  void crash(node_id node);
+  void start(node_id node) { nodes_[node].is_down = false; }
+  [[nodiscard]] bool is_down(node_id node) const { return nodes_[node].is_down; }
+  [[nodiscard]] bool is_paused(node_id node) const { return nodes_[node].is_paused; }
+  /// @return how often the node was crashed; replies to an earlier start are void.
+  [[nodiscard]] std::uint64_t starts(node_id node) const { return nodes_[node].starts; }
+  [[nodiscard]] bool is_cut(node_id from, node_id to) const;
+
+ private:
+  struct link_state {
+    bool is_cut = false;
+    duration delay{};
+    int duplicates = 0;
+    int drops = 0;
+  };
+  struct node_state {
+    bool is_down = false;
+    bool is_paused = false;
+    std::uint64_t starts = 0;  ///< Tasks of an earlier start don't run.
+    int clock_permille = 0;
+    std::deque<callback> backlog;
+  };
+  struct task {
+    time_point at;
+    std::uint64_t order;
+    callback run;
+    bool operator>(const task& other) const {
+      return std::pair{at, order} > std::pair{other.at, other.order};
+    }
+  };
+
+  void deliver(node_id from, node_id to, const callback& on_arrival, const callback& on_down);
+  [[nodiscard]] duration transit(const link_state& link);
+
+  time_point start_{std::chrono::seconds{1'000}};
+  time_point now_ = start_;
+  std::uint64_t last_order_ = 0;
+  std::mt19937 random_;
+  std::vector<node_state> nodes_;
+  std::map<std::pair<node_id, node_id>, link_state> links_;
+  std::priority_queue<task, std::vector<task>, std::greater<>> tasks_;
+};
+
+}  // namespace bulrushlift::simulation
--- a/packages/standins/database_member_messages.h
+++ b/packages/standins/database_member_messages.h
@@ -136,6 +136,7 @@
 struct pull_request {
   target_id replica;
   term_id term;
+  target_id primary;                  ///< To whom the request goes.
   std::vector<log_point> boundaries;  ///< Last entry of each term in the replica's log, oldest first.
   duration minimum_age{};             ///< Replication lag: entries younger than this are left out.
 };
--- a/packages/standins/database_member_model.cc
+++ b/packages/standins/database_member_model.cc
@@ -311,7 +311,7 @@
 
 std::optional<pull_request> database_member_model::next_pull() const {
   if (role_ != member_role::replica || primary_.empty()) return std::nullopt;
-  return pull_request{options_.target, term_, boundaries_, options_.replication_lag};
+  return pull_request{options_.target, term_, primary_, boundaries_, options_.replication_lag};
 }
 
 member_result<pull_answer> database_member_model::answer_pull(const pull_request& request,
