--- /dev/null
+++ b/packages/fleet/membership_timers.cc
@@ -0,0 +1,201 @@
+#include <algorithm>
+#include <iterator>
+
+#include "fleet/membership_controller.h"
+
+/// @file
+/// The part of the membership controller that acts as time passes: pings,
+/// indirect pings, suspicion and death, and the choice of piggybacked updates.
+
+namespace bulrushlift {
+namespace {
+
+/// Upper bound of the bytes of an entry in a datagram: names, the state's name and the codec's fields.
+std::size_t wire_size(const member& it) {
+  constexpr std::size_t fields = 32;
+  return it.vm.str().size() + it.address.size() + it.data_centre.str().size() + fields;
+}
+
+}  // namespace
+
+membership_actions membership_controller::on_timer(time_point now, std::uint64_t random) {
+  membership_actions actions;
+  if (stopped_ || now < next_timer_) return actions;
+  random_engine engine{static_cast<random_engine::result_type>(random)};
+  const auto half_period = current_period() / 2;
+  const bool is_first = next_timer_ == time_point{};
+  // After a pause of this process the missing acks say nothing about the peers.
+  if (!is_first && now - next_timer_ > half_period) absorb_pause(now - next_timer_);
+  if (is_half_period_) {
+    send_indirect_pings(engine, actions);
+  } else {
+    fail_probes(now, actions);
+    start_period(now, engine, actions);
+  }
+  end_suspicions(now, actions);
+  is_half_period_ = !is_half_period_;
+  // Without catching up, a late timer would shorten the time for the next acks.
+  next_timer_ = now + half_period;
+  return actions;
+}
+
+void membership_controller::absorb_pause(duration pause) {
+  probes_.clear();
+  for (auto& [vm, it] : peers_) it.suspicion_end += pause;
+  is_half_period_ = false;
+}
+
+void membership_controller::start_period(time_point now, random_engine& random, membership_actions& actions) {
+  ++periods_;
+  std::erase_if(forwarded_,
+                [&](const auto& entry) { return now - entry.second.sent > 2 * current_period(); });
+  forget_old(now);
+  if (live_count() <= options_.small_fleet) {
+    for (auto& [vm, it] : peers_) {
+      if (is_pinged(it)) ping(it, now, actions);
+    }
+  } else {
+    ping_next(now, random, actions);
+  }
+  if (periods_ % options_.dead_ping_periods != 0) return;
+  ping_dead(now, random, actions);
+  ping_namesake(actions);
+}
+
+void membership_controller::ping_next(time_point now, random_engine& random, membership_actions& actions) {
+  // In a shuffled round each member is pinged once, which bounds the time until a death is noticed.
+  for (int rounds = 0; rounds < 2; ++rounds) {
+    while (!ping_order_.empty()) {
+      const auto it = peers_.find(ping_order_.back());
+      ping_order_.pop_back();
+      if (it == peers_.end() || !is_pinged(it->second)) continue;
+      ping(it->second, now, actions);
+      return;
+    }
+    for (const auto& [vm, it] : peers_) {
+      if (is_pinged(it)) ping_order_.push_back(vm);
+    }
+    std::ranges::shuffle(ping_order_, random);
+  }
+}
+
+void membership_controller::ping_dead(time_point now, random_engine& random, membership_actions& actions) {
+  std::vector<peer*> dead;
+  for (auto& [vm, it] : peers_) {
+    if (it.info.state == member_state::dead) dead.push_back(&it);
+  }
+  if (dead.empty()) return;
+  std::uniform_int_distribution<std::size_t> index{0, dead.size() - 1};
+  ping(*dead[index(random)], now, actions);
+}
+
+void membership_controller::ping_namesake(membership_actions& actions) {
+  if (namesake_address_.empty()) return;
+  actions.emplace_back(send_membership{
+      namesake_address_, make_message(membership_message_kind::ping, ++last_id_, self_.vm, {self_})});
+}
+
+void membership_controller::ping(peer& target, time_point now, membership_actions& actions) {
+  const auto id = ++last_id_;
+  probes_[id] = {target.info.vm, now};
+  auto updates = choose_updates(target.info.vm, target.info.state != member_state::alive);
+  actions.emplace_back(
+      send_membership{target.info.address,
+                      make_message(membership_message_kind::ping, id, target.info.vm, std::move(updates))});
+}
+
+void membership_controller::send_indirect_pings(random_engine& random, membership_actions& actions) {
+  for (const auto& [id, waiting] : probes_) {
+    const auto target = peers_.find(waiting.target);
+    if (target == peers_.end() || !target->second.is_contacted) continue;
+    if (!is_serving(target->second.info.state)) continue;
+    std::vector<const peer*> helpers;
+    for (const auto& [vm, it] : peers_) {
+      if (vm != waiting.target && it.is_contacted && it.info.state == member_state::alive)
+        helpers.push_back(&it);
+    }
+    std::vector<const peer*> chosen;
+    std::ranges::sample(helpers, std::back_inserter(chosen),
+                        static_cast<std::ptrdiff_t>(options_.indirect_pings), random);
+    for (const auto* helper : chosen) {
+      auto updates = choose_updates(helper->info.vm, false);
+      actions.emplace_back(send_membership{
+          helper->info.address,
+          make_message(membership_message_kind::indirect_ping, id, waiting.target, std::move(updates))});
+    }
+  }
+}
+
+void membership_controller::fail_probes(time_point now, membership_actions& actions) {
+  const auto failed = std::move(probes_);
+  probes_.clear();
+  for (const auto& [id, waiting] : failed) {
+    const auto it = peers_.find(waiting.target);
+    if (it == peers_.end() || !it->second.is_contacted) continue;
+    if (it->second.info.state == member_state::alive)
+      set_state(it->second, member_state::suspect, now, actions);
+    // A member that leaves holds nothing any more, so it needs no time to refute.
+    if (it->second.info.state == member_state::leaving)
+      set_state(it->second, member_state::dead, now, actions);
+  }
+}
+
+void membership_controller::end_suspicions(time_point now, membership_actions& actions) {
+  for (auto& [vm, it] : peers_) {
+    const bool is_over = it.info.state == member_state::suspect && now >= it.suspicion_end;
+    if (is_over) set_state(it, member_state::dead, now, actions);
+  }
+}
+
+void membership_controller::forget_old(time_point now) {
+  std::erase_if(peers_, [&](const auto& entry) {
+    const auto& it = entry.second;
+    const bool is_old =
+        !it.is_seed && it.info.state == member_state::dead && now - it.state_since > options_.forget_time;
+    if (is_old) spreading_.erase({it.transmissions, entry.first});
+    return is_old;
+  });
+}
+
+std::vector<member> membership_controller::choose_updates(const vm_id& to, bool always_about_receiver) {
+  std::vector<member> chosen;
+  std::size_t bytes = 0;
+  const auto add = [&](const member& entry) {
+    if (chosen.size() >= options_.updates_per_datagram) return false;
+    if (bytes + wire_size(entry) > options_.update_bytes) return false;
+    bytes += wire_size(entry);
+    chosen.push_back(entry);
+    return true;
+  };
+  add(self_);
+  const auto receiver = peers_.find(to);
+  const bool has_news_for_receiver =
+      receiver != peers_.end() && receiver->second.is_contacted &&
+      (always_about_receiver || receiver->second.info.state != member_state::alive);
+  if (has_news_for_receiver) add(receiver->second.info);
+
+  std::vector<peer*> sent;
+  for (const auto& [transmissions, vm] : spreading_) {
+    auto& it = peers_.at(vm);
+    if (vm == to) continue;
+    if (!add(it.info)) break;
+    sent.push_back(&it);
+  }
+  for (auto* it : sent) {
+    spreading_.erase({it->transmissions, it->info.vm});
+    ++it->transmissions;
+    if (it->transmissions < transmission_limit()) spreading_.emplace(it->transmissions, it->info.vm);
+  }
+
+  auto next = peers_.upper_bound(last_rotated_);
+  for (std::size_t i = 0; i < std::min(options_.refreshed_entries, peers_.size()); ++i) {
+    if (next == peers_.end()) next = peers_.begin();
+    last_rotated_ = next->first;
+    const bool is_included = std::ranges::find(chosen, next->first, &member::vm) != chosen.end();
+    if (next->second.is_contacted && next->first != to && !is_included && !add(next->second.info)) break;
+    ++next;
+  }
+  return chosen;
+}
+
+}  // namespace bulrushlift
