--- a/packages/database/group_world_fake.cc
+++ b/packages/database/group_world_fake.cc
@@ -171,7 +171,7 @@
 }
 
 void group_world::call_step(std::size_t controller, exchange_id exchange, const target_id& target,
-                            handler serve) {
+                            const handler& serve) {
   call(
       controller, target, serve,
       [=, this](request_failure reason) {
