--- a/packages/database/group_callers_fake.cc
+++ b/packages/database/group_callers_fake.cc
@@ -110,7 +110,7 @@
 
 std::string group_world::write(std::size_t controller, std::size_t session, bool has_key) {
   if (primary_of(controller) == nullptr) return {};
-  const auto name = "op-" + std::to_string(++last_name_);
+  auto name = "op-" + std::to_string(++last_name_);
   auto& op = operations_[name];
   op.name = name;
   op.has_key = has_key;
--- a/packages/database/group_promotion.h
+++ b/packages/database/group_promotion.h
@@ -16,6 +16,21 @@
 
 namespace bulrushlift::internal {
 
+/// One attempt at a promotion.
+struct promotion_attempt {
+  term_id term;
+  candidate_id candidate;
+  target_id excluded;
+  std::string reason;
+  time_point step_at{};  ///< Start of the current step.
+  std::map<target_id, log_point> fenced;
+  std::set<target_id> refused;
+  std::map<target_id, retry_schedule> fences;
+  target_id chosen;
+  std::size_t promote_failures = 0;
+  retry_schedule promote;
+};
+
 class group_promotion {
  public:
   group_promotion(vm_id vm, incarnation_id incarnation) : vm_(std::move(vm)), incarnation_(incarnation) {}
@@ -47,20 +62,6 @@
   void send_follows(const group_context& context);
 
  private:
-  struct attempt {
-    term_id term;
-    candidate_id candidate;
-    target_id excluded;
-    std::string reason;
-    time_point step_at{};  ///< Start of the current step.
-    std::map<target_id, log_point> fenced;
-    std::set<target_id> refused;
-    std::map<target_id, retry_schedule> fences;
-    target_id chosen;
-    std::size_t promote_failures = 0;
-    retry_schedule promote;
-  };
-
   void start_fencing(const group_context& context);
   void send_fences(const group_context& context);
   void choose(const group_context& context);
@@ -72,7 +73,7 @@
   vm_id vm_;
   incarnation_id incarnation_;
   std::uint64_t last_candidate_ = 0;
-  std::optional<attempt> attempt_;
+  std::optional<promotion_attempt> attempt_;
   retry_schedule schedule_;
   std::map<target_id, retry_schedule> follows_;
 };
--- a/packages/database/group_world_fake.cc
+++ b/packages/database/group_world_fake.cc
@@ -146,8 +146,8 @@
 // Requests to members
 // ---------------------------------------------------------------------------
 
-void group_world::call(std::size_t controller, const target_id& target, handler serve, failure on_failure,
-                       bool may_repeat) {
+void group_world::call(std::size_t controller, const target_id& target, const handler& serve,
+                       const failure& on_failure, bool may_repeat) {
   const auto index = index_of(target);
   const auto node = member_node(index);
   const auto starts = network_.starts(controller);
@@ -171,9 +171,9 @@
 }
 
 void group_world::call_step(std::size_t controller, exchange_id exchange, const target_id& target,
-                            handler serve) {
+                            const handler& serve) {
   call(
-      controller, target, std::move(serve),
+      controller, target, serve,
       [=, this](request_failure reason) {
         feed(controller, request_failed{exchange, target, reason, {}});
       },
--- a/packages/database/group_world_fake.h
+++ b/packages/database/group_world_fake.h
@@ -118,9 +118,9 @@
   void start_controller(std::size_t index);
   void tick(std::size_t index);
   void configure(std::size_t index);
-  void call(std::size_t controller, const target_id& target, handler serve, failure on_failure,
+  void call(std::size_t controller, const target_id& target, const handler& serve, const failure& on_failure,
             bool may_repeat);
-  void call_step(std::size_t controller, exchange_id exchange, const target_id& target, handler serve);
+  void call_step(std::size_t controller, exchange_id exchange, const target_id& target, const handler& serve);
   void poll(std::size_t controller, exchange_id exchange, const target_id& target, const log_point& after,
             duration wait);
   void answer_waiting(std::size_t member);
--- a/packages/database/simulated_network_fake.cc
+++ b/packages/database/simulated_network_fake.cc
@@ -53,7 +53,7 @@
   return link.delay + std::chrono::microseconds{microseconds(random_)};
 }
 
-void simulated_network::send(node_id from, node_id to, callback on_arrival, callback on_down,
+void simulated_network::send(node_id from, node_id to, const callback& on_arrival, const callback& on_down,
                              bool may_repeat) {
   auto& link = links_[{from, to}];
   if (link.is_cut) return;
--- a/packages/database/simulated_network_fake.h
+++ b/packages/database/simulated_network_fake.h
@@ -45,11 +45,13 @@
   /// Delivers a message unless the link is cut when it is sent or arrives.
   /// @param on_down runs at the sender, after the way back, if the receiver is down.
   /// @param may_repeat whether the fault "duplicate" applies to this message.
-  void send(node_id from, node_id to, callback on_arrival, callback on_down = {}, bool may_repeat = true);
+  void send(node_id from, node_id to, const callback& on_arrival, const callback& on_down = {},
+            bool may_repeat = true);
 
   // Faults.
 
   void cut(node_id from, node_id to) { links_[{from, to}].is_cut = true; }
+  void mend(node_id from, node_id to) { links_[{from, to}].is_cut = false; }
   void set_delay(node_id from, node_id to, duration delay) { links_[{from, to}].delay = delay; }
   void duplicate_next(node_id from, node_id to) { ++links_[{from, to}].duplicates; }
   void drop_next(node_id from, node_id to) { ++links_[{from, to}].drops; }
--- /dev/null
+++ b/packages/database/world_commands_fake.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <iosfwd>
+#include <string_view>
+#include <vector>
+
+#include "database/group_world_fake.h"
+
+/// @file
+/// Commands of the fuzz: requests of callers and faults.
+
+namespace bulrushlift::simulation {
+
+enum class command_kind {
+  write,
+  keyed_write,
+  transaction,
+  read,
+  repeat,
+  resolve,
+  wait,
+  long_wait,
+  crash_member,
+  crash_controller,
+  pause_member,
+  pause_controller,
+  pause_at_step,  ///< Pauses the controller between its next step and the one before.
+  crash_at_step,
+  cut_one_way,
+  cut_both_ways,
+  isolate_member,  ///< Cuts a member off from the other members.
+  delay_link,
+  duplicate,
+  lose_answer,
+  lag_replica,
+  leave,
+  toggle_owner,
+  heal,
+};
+
+inline constexpr int command_kinds = static_cast<int>(command_kind::heal) + 1;
+
+[[nodiscard]] std::string_view name_of(command_kind kind) noexcept;
+
+/// A command with two small numbers that select nodes and lengths.
+struct command {
+  command_kind kind = command_kind::wait;
+  std::uint8_t first = 0;
+  std::uint8_t second = 0;
+};
+
+std::ostream& operator<<(std::ostream& out, const command& item);
+
+/// Runs commands against a world.
+class command_runner {
+ public:
+  explicit command_runner(group_world& world, std::size_t controllers, std::size_t members);
+  void run(const command& item);
+
+ private:
+  void run_caller(const command& item);
+  void run_node_fault(const command& item);
+  void run_link_fault(const command& item);
+  void pause_for(node_id node, duration length);
+  void crash_for(node_id node, duration length);
+  void arm_step(const command& item, bool is_crash);
+  void cut_for(node_id from, node_id to, duration length);
+  void isolate(node_id node, duration length);
+  [[nodiscard]] operation* find_unknown(std::uint8_t choice);
+  [[nodiscard]] node_id any_node(std::uint8_t choice) const { return choice % (controllers_ + members_); }
+
+  group_world& world_;
+  std::size_t controllers_;
+  std::size_t members_;
+  std::vector<bool> owners_;
+};
+
+}  // namespace bulrushlift::simulation
