Implement connection pools, transactions and retries

Cause: connections and slots of a target are scarce, transactions must never mix, and a write must run at most once. The fuzz test found that a rollback after a commit of unknown outcome was answered as "lost"; it is now "transaction unknown".

--- a/packages/database/pool_controller.h
+++ b/packages/database/pool_controller.h
@@ -46,6 +46,8 @@
   duration open_retry_longest = std::chrono::seconds{1};
   /// Time in which transactions on a leaving target can still run statements.
   duration leaving_grace = std::chrono::seconds{3};
+  /// Test only: deliver answers whatever their id.
+  bool skips_correlation_check = false;
 };
 
 /// Why a request ended without an answer, or why a connection is closed.
@@ -97,7 +99,8 @@
   connection_id connection;
   pool_failure reason;
 };
-/// A connection with an open transaction is gone; the target rolls back.
+/// A connection with an open transaction and without a running request is gone; the target rolls back.
+/// With a running request, `fail_request` tells the same.
 struct binding_lost {
   connection_id connection;
   pool_failure reason;
@@ -117,7 +120,7 @@
   std::uint32_t bound = 0;    ///< Bound to a transaction, running or not.
   std::uint32_t slots = 0;
   std::uint32_t slots_in_use = 0;
-  bool leaving = false;
+  bool is_leaving = false;
 
   [[nodiscard]] std::uint32_t free_slots() const noexcept {
     return slots_in_use < slots ? slots - slots_in_use : 0;
@@ -144,7 +147,7 @@
   /// Opens the first connections.
   [[nodiscard]] pool_actions start(time_point now, std::uint64_t random);
 
-  /// Starts a request on an idle connection.
+  /// Starts a request on an idle connection: the one used last, so that surplus ones become old.
   /// @return `overloaded` when no slot or no idle connection is free, `target_unavailable` when the
   ///     target leaves; both mean that nothing was sent.
   [[nodiscard]] result<pool_actions> start_request(ticket_id ticket, pool_use use, time_point deadline,
@@ -163,7 +166,7 @@
   [[nodiscard]] pool_actions discard(connection_id connection, time_point now, std::uint64_t random);
 
   [[nodiscard]] pool_actions on_opened(connection_id connection, time_point now, std::uint64_t random);
-  /// Also to be called when the target answers `too_many_connections`.
+  /// Also to be called when the target answers `too_many_connections`; the connection is closed then.
   [[nodiscard]] pool_actions on_open_failed(connection_id connection, time_point now, std::uint64_t random);
   /// A whole answer arrived.
   /// @param correlation id in the answer.
@@ -185,30 +188,42 @@
   [[nodiscard]] std::uint32_t own_limit() const noexcept;
 
  private:
-  struct connection {
-    enum class phase { opening, idle, probing, running, bound };
+  enum class phase { opening, idle, probing, running, bound };
+  struct connection_record {
     phase state = phase::opening;
-    bool bound = false;        ///< An open transaction may exist on it.
-    bool discredited = false;  ///< A crossed answer was seen: closed instead of reused.
-    pool_use use = pool_use::single;
+    bool is_bound = false;        ///< An open transaction exists or begins on it.
+    bool is_discredited = false;  ///< A crossed answer was seen: closed instead of reused.
     ticket_id ticket;
     correlation_id correlation;
-    time_point deadline{};  ///< Of the opening, the probe or the request.
-    time_point since{};     ///< Start of the current phase.
+    time_point deadline{};    ///< Of the opening, the probe or the request.
+    time_point idle_since{};  ///< End of the last request.
     time_point probe_due{};
   };
-  using connection_map = std::map<connection_id, connection>;
+  using connection_map = std::map<connection_id, connection_record>;
+  using iterator = connection_map::iterator;
 
-  void close(connection_map::iterator it, pool_failure reason, pool_actions& actions);
-  void finish_request(connection_map::iterator it, time_point now, pool_actions& actions);
-  void make_idle(connection_map::iterator it, time_point now, pool_actions& actions);
+  [[nodiscard]] std::uint32_t count(phase state) const noexcept;
+  [[nodiscard]] std::uint32_t count_bound() const noexcept;
+  [[nodiscard]] std::uint32_t wanted() const noexcept;
+  [[nodiscard]] std::uint32_t bound_limit() const noexcept;
+  [[nodiscard]] bool has_free_slot() const noexcept { return count(phase::running) < options_.slots; }
+  [[nodiscard]] bool is_probe_allowed() const noexcept;
+  [[nodiscard]] bool is_opening_needed() const noexcept;
+  [[nodiscard]] iterator newest_idle() noexcept;
+
+  void begin_request(iterator it, ticket_id ticket, time_point deadline, pool_actions& actions);
+  void finish_request(iterator it, time_point now, pool_actions& actions);
+  /// Returns a connection without a request to the idle ones, or closes it.
+  void reuse(iterator it, time_point now, pool_actions& actions);
+  void make_idle(connection_record& it, time_point now) const;
+  /// Ends the request or the binding of a connection that is lost.
+  void fail(iterator it, pool_failure reason, pool_actions& actions);
+  iterator close(iterator it, pool_failure reason, pool_actions& actions);
   void open_needed(time_point now, pool_actions& actions);
-  void expire(time_point now, std::uint64_t random, pool_actions& actions);
   void schedule_retry(time_point now, std::uint64_t random);
-  void begin_request(connection_map::iterator it, ticket_id ticket, time_point deadline, time_point now,
-                     pool_actions& actions);
-  [[nodiscard]] std::uint32_t wanted() const;
-  [[nodiscard]] std::uint32_t bound_limit() const noexcept;
+  /// @return the reason for which the connection is to be closed now.
+  [[nodiscard]] std::optional<pool_failure> expiry(const connection_record& it, time_point now) const;
+  [[nodiscard]] std::optional<time_point> due(const connection_record& it) const;
 
   pool_options options_;
   connection_map connections_;
@@ -216,8 +231,8 @@
   std::uint64_t last_correlation_ = 0;
   std::uint32_t open_failures_ = 0;  ///< In a row.
   time_point next_open_{};
-  bool started_ = false;
-  bool leaving_ = false;
+  bool is_started_ = false;
+  bool is_leaving_ = false;
   time_point leaving_since_{};
 };
 
--- a/packages/database/retry_policy.h
+++ b/packages/database/retry_policy.h
@@ -20,6 +20,7 @@
   before_send,       ///< No byte left: no target, no connection, no slot.
   refused,           ///< The receiver answered that the request had no effect.
   statement_failed,  ///< The target answered that the statement failed without effect.
+  cancelled,         ///< The target answered that the idempotency key was cancelled: no copy ever runs.
   after_send,        ///< Bytes may have left; reset or no answer by the deadline.
   unacknowledged,    ///< The primary answered, but no second member confirmed the position.
 };
@@ -70,8 +71,17 @@
 struct retry_options {
   duration backoff_first = std::chrono::milliseconds{5};
   duration backoff_longest = std::chrono::milliseconds{250};
+  /// Longest attempt of a request that may be sent again, so that an unresponsive connection costs
+  /// less than the whole deadline.
+  duration attempt_time = std::chrono::seconds{1};
+  /// Test only: send any request again after its bytes may have left.
+  bool retries_after_send = false;
 };
 
+/// @return the deadline of one attempt: the request's own for a request that may not be sent twice.
+[[nodiscard]] time_point attempt_deadline(const request_traits& request, const retry_options& options,
+                                          time_point deadline, time_point now) noexcept;
+
 /// @param retries retries of this request so far.
 /// @return a pause between half of the doubled step and the whole step.
 [[nodiscard]] duration backoff(const retry_options& options, std::uint32_t retries, std::uint64_t random);
@@ -99,6 +109,8 @@
  public:
   request_attempts(request_traits request, time_point deadline) : request_(request), deadline_(deadline) {}
 
+  /// Decides after a failed attempt. Attempts that sent nothing are repeated until the deadline without a
+  /// charge to the budget; the others need the budget.
   /// @param budget of the request's service.
   [[nodiscard]] retry_decision on_failure(const failed_attempt& attempt, retry_budget& budget,
                                           const retry_options& options, time_point now, std::uint64_t random);
--- /dev/null
+++ b/packages/database/transaction_table.cc
@@ -0,0 +1,238 @@
+#include "database/transaction_table.h"
+
+#include <string>
+#include <utility>
+
+namespace bulrushlift {
+namespace {
+
+error lost_error() { return {error_kind::transaction_lost, "the transaction ended without a commit"}; }
+
+error commit_unknown_error() {
+  return {error_kind::outcome_unknown, "the commit was sent and its answer is missing", std::nullopt,
+          outcome::unknown};
+}
+
+}  // namespace
+
+error error_for_missing(transaction_step step) {
+  error cause{error_kind::transaction_lost, "the process that had the transaction has ended"};
+  if (step == transaction_step::commit) cause.stated_outcome = outcome::unknown;
+  // A caller without the answer to its commit may ask for a rollback.
+  if (step == transaction_step::rollback) cause.kind = error_kind::transaction_unknown;
+  return cause;
+}
+
+result<void> transaction_table::check_begin(const customer_id& customer) const {
+  const auto it = open_by_customer_.find(customer);
+  if (it == open_by_customer_.end() || it->second < options_.customer_limit) return {};
+  return make_error(error_kind::overloaded,
+                    "the customer has " + std::to_string(it->second) + " open transactions on this VM");
+}
+
+result<transaction_id> transaction_table::begin(const customer_id& customer, const service_id& service,
+                                                term_id term, const transaction_place& place,
+                                                ticket_id ticket, time_point now) {
+  if (auto room = check_begin(customer); !room) return tl::unexpected(room.error());
+  transaction_id id{self_, incarnation_, service, term, customer, ++last_counter_};
+  open_[id] = {place, phase::beginning, ticket, now};
+  places_[place] = id;
+  ++open_by_customer_[customer];
+  return id;
+}
+
+result<transaction_place> transaction_table::start_step(const transaction_id& id, transaction_step step,
+                                                        ticket_id ticket, time_point /*now*/) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) {
+    const auto ended = ended_.find(id);
+    return tl::unexpected(ended == ended_.end() ? error_for_missing(step) : ended_error(ended->second, step));
+  }
+  auto& record = it->second;
+  if (record.state == phase::ordered_rollback) return tl::unexpected(lost_error());
+  if (record.state != phase::idle) {
+    return make_error(error_kind::conflict, "another request of the transaction is running");
+  }
+  record.ticket = ticket;
+  record.state = step == transaction_step::commit     ? phase::committing
+                 : step == transaction_step::rollback ? phase::rolling_back
+                                                      : phase::running;
+  return record.place;
+}
+
+transaction_actions transaction_table::on_step_result(const transaction_id& id, ticket_id ticket,
+                                                      step_result value, std::optional<error> cause,
+                                                      time_point now) {
+  transaction_actions actions;
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.ticket != ticket) return actions;
+  auto& record = it->second;
+  if (record.state == phase::idle || record.state == phase::ordered_rollback) return actions;
+  switch (value) {
+    case step_result::confirmed:
+      on_confirmed(it, now, actions);
+      break;
+    case step_result::failed:
+    case step_result::not_sent:
+      if (record.state == phase::beginning) {
+        actions.emplace_back(discard_place{record.place});
+        actions.emplace_back(answer_step{ticket, cause ? std::move(cause) : lost_error()});
+        end(it, ending::lost);
+        break;
+      }
+      record.state = phase::idle;
+      record.idle_since = now;
+      actions.emplace_back(answer_step{ticket, cause ? std::move(cause) : lost_error()});
+      break;
+    case step_result::refused:
+      on_refused(it, actions);
+      break;
+    case step_result::lost:
+      lose(it, false, actions);
+      break;
+  }
+  return actions;
+}
+
+void transaction_table::on_confirmed(iterator it, time_point now, transaction_actions& actions) {
+  auto& record = it->second;
+  actions.emplace_back(answer_step{record.ticket, std::nullopt});
+  const bool is_commit = record.state == phase::committing;
+  if (is_commit || record.state == phase::rolling_back) {
+    actions.emplace_back(release_place{record.place});
+    end(it, is_commit ? ending::committed : ending::rolled_back);
+    return;
+  }
+  record.state = phase::idle;
+  record.idle_since = now;
+}
+
+void transaction_table::on_refused(iterator it, transaction_actions& actions) {
+  const auto& record = it->second;
+  // The target does not have the transaction, so it cannot have committed it.
+  std::optional<error> cause;
+  if (record.state != phase::rolling_back) cause = lost_error();
+  actions.emplace_back(discard_place{record.place});
+  actions.emplace_back(answer_step{record.ticket, std::move(cause)});
+  end(it, ending::lost);
+}
+
+transaction_actions transaction_table::on_rollback_result(const transaction_id& id, step_result value,
+                                                          time_point /*now*/) {
+  transaction_actions actions;
+  const auto it = open_.find(id);
+  if (it == open_.end() || it->second.state != phase::ordered_rollback) return actions;
+  if (value == step_result::confirmed) {
+    actions.emplace_back(release_place{it->second.place});
+  } else if (value != step_result::lost) {
+    actions.emplace_back(discard_place{it->second.place});
+  }
+  end(it, ending::lost);
+  return actions;
+}
+
+transaction_actions transaction_table::on_place_lost(const transaction_place& place, time_point /*now*/) {
+  transaction_actions actions;
+  const auto it = places_.find(place);
+  if (it == places_.end()) return actions;
+  lose(open_.find(it->second), false, actions);
+  return actions;
+}
+
+transaction_actions transaction_table::on_term_changed(const service_id& service, term_id term,
+                                                       time_point /*now*/) {
+  transaction_actions actions;
+  for (auto it = open_.begin(); it != open_.end();) {
+    const bool is_superseded = it->first.service == service && it->first.term < term;
+    it = is_superseded ? lose(it, true, actions) : std::next(it);
+  }
+  return actions;
+}
+
+transaction_actions transaction_table::on_timer(time_point now) {
+  transaction_actions actions;
+  for (auto it = open_.begin(); it != open_.end();) {
+    const auto current = it++;
+    const bool is_over =
+        current->second.state == phase::idle && now >= current->second.idle_since + options_.idle_limit;
+    if (is_over) roll_back(current, now, actions);
+  }
+  return actions;
+}
+
+transaction_actions transaction_table::end_all(time_point /*now*/) {
+  transaction_actions actions;
+  for (auto it = open_.begin(); it != open_.end();) it = lose(it, true, actions);
+  return actions;
+}
+
+std::optional<time_point> transaction_table::next_timer() const {
+  std::optional<time_point> earliest;
+  for (const auto& [id, record] : open_) {
+    if (record.state != phase::idle) continue;
+    const auto due = record.idle_since + options_.idle_limit;
+    if (!earliest || due < *earliest) earliest = due;
+  }
+  return earliest;
+}
+
+void transaction_table::roll_back(iterator it, time_point now, transaction_actions& actions) {
+  if (options_.releases_unconfirmed) {
+    actions.emplace_back(release_place{it->second.place});
+    end(it, ending::lost);
+    return;
+  }
+  it->second.state = phase::ordered_rollback;
+  actions.emplace_back(order_rollback{it->first, it->second.place, now + options_.rollback_timeout});
+}
+
+transaction_table::iterator transaction_table::lose(iterator it, bool is_place_open,
+                                                    transaction_actions& actions) {
+  const auto& record = it->second;
+  if (is_place_open) actions.emplace_back(discard_place{record.place});
+  const bool has_request = record.state != phase::idle && record.state != phase::ordered_rollback;
+  if (has_request) actions.emplace_back(answer_step{record.ticket, loss_of(record.state)});
+  return end(it, record.state == phase::committing ? ending::unknown : ending::lost);
+}
+
+std::optional<error> transaction_table::loss_of(phase state) const {
+  if (state == phase::committing) return commit_unknown_error();
+  // The target rolls back when its connection closes, which is what the caller asked for.
+  if (state == phase::rolling_back) return std::nullopt;
+  return lost_error();
+}
+
+transaction_table::iterator transaction_table::end(iterator it, ending how) {
+  places_.erase(it->second.place);
+  const auto count = open_by_customer_.find(it->first.customer);
+  if (--count->second == 0) open_by_customer_.erase(count);
+  ended_.emplace(it->first, how);
+  ended_order_.push_back(it->first);
+  if (ended_order_.size() > options_.ended_limit) {
+    ended_.erase(ended_order_.front());
+    ended_order_.pop_front();
+  }
+  return open_.erase(it);
+}
+
+error transaction_table::ended_error(ending how, transaction_step step) {
+  const bool is_commit = step == transaction_step::commit;
+  switch (how) {
+    case ending::committed: {
+      error cause{error_kind::transaction_unknown, "the transaction has been committed"};
+      // The earlier commit may have failed to reach a second member.
+      if (is_commit) cause.stated_outcome = outcome::unknown;
+      return cause;
+    }
+    case ending::rolled_back:
+      return {error_kind::transaction_unknown, "the transaction has been rolled back"};
+    case ending::unknown:
+      if (is_commit) return commit_unknown_error();
+      return {error_kind::transaction_unknown, "the outcome of the transaction's commit is unknown"};
+    case ending::lost:
+      break;
+  }
+  return lost_error();
+}
+
+}  // namespace bulrushlift
--- a/packages/database/transaction_table.h
+++ b/packages/database/transaction_table.h
@@ -34,6 +34,8 @@
   std::size_t customer_limit = 64;
   /// Ended transactions that are remembered for a true answer to later requests.
   std::size_t ended_limit = 65'536;
+  /// Test only: return the connection of an idle transaction without a confirmed rollback.
+  bool releases_unconfirmed = false;
 };
 
 /// Where the requests of a transaction run.
@@ -48,9 +50,11 @@
 /// How an attempt of a transaction's request ended.
 enum class step_result {
   confirmed,  ///< The target did it.
-  failed,     ///< The target answered that the statement failed; the transaction is open.
-  refused,    ///< The target answered that it did not do it, for example for its term.
-  not_sent,   ///< No byte left.
+  failed,     ///< The target answered that it had no effect; the transaction is open (`statement_failed`,
+              ///< `busy`).
+  refused,    ///< The target answered that it does not have the transaction (`wrong_term`, `not_primary`,
+              ///< `unknown_transaction`).
+  not_sent,   ///< No byte left; the transaction is open.
   lost,       ///< Bytes may have left; no answer, and the connection is closed.
 };
 
@@ -78,8 +82,8 @@
 using transaction_actions = std::vector<transaction_action>;
 
 /// Answer to a request for a transaction that this process does not have.
-/// @return `transaction_lost`. Its outcome is `unknown` for a commit, since an earlier commit of the same
-///     transaction may have reached the target.
+/// @return `transaction_lost` for a statement. An earlier commit of the same transaction may have reached the
+///     target, so the outcome is `unknown` for a commit and the kind `transaction_unknown` for a rollback.
 [[nodiscard]] error error_for_missing(transaction_step step);
 
 /// Table of the transactions of one process.
@@ -104,7 +108,9 @@
   [[nodiscard]] result<transaction_place> start_step(const transaction_id& id, transaction_step step,
                                                      ticket_id ticket, time_point now);
 
-  /// The running request of the transaction ended.
+  /// The running request of the transaction ended. Results for requests that have already been answered
+  /// change nothing. A confirmed commit still needs the acknowledgement of a second member before
+  /// its caller gets the success.
   /// @param cause error from the target or the pool, for the caller; ignored when confirmed.
   [[nodiscard]] transaction_actions on_step_result(const transaction_id& id, ticket_id ticket,
                                                    step_result value, std::optional<error> cause,
@@ -131,19 +137,23 @@
  private:
   enum class phase { beginning, idle, running, committing, rolling_back, ordered_rollback };
   enum class ending { committed, rolled_back, lost, unknown };
-  struct record {
+  struct transaction_record {
     transaction_place place;
     phase state = phase::beginning;
-    ticket_id ticket;
+    ticket_id ticket;  ///< Of the running request.
     time_point idle_since{};
-    time_point deadline{};  ///< Of an ordered rollback.
   };
-  using record_map = std::map<transaction_id, record>;
-
-  void end(record_map::iterator it, ending how);
-  [[nodiscard]] error ended_error(ending how, transaction_step step) const;
-  void lose(record_map::iterator it, bool is_place_closed, transaction_actions& actions);
-  void roll_back(record_map::iterator it, time_point now, transaction_actions& actions);
+  using record_map = std::map<transaction_id, transaction_record>;
+  using iterator = record_map::iterator;
+
+  iterator end(iterator it, ending how);
+  /// Ends a transaction whose connection is lost or given up, with the true answer for a running request.
+  iterator lose(iterator it, bool is_place_open, transaction_actions& actions);
+  void roll_back(iterator it, time_point now, transaction_actions& actions);
+  void on_confirmed(iterator it, time_point now, transaction_actions& actions);
+  void on_refused(iterator it, transaction_actions& actions);
+  [[nodiscard]] std::optional<error> loss_of(phase state) const;
+  [[nodiscard]] static error ended_error(ending how, transaction_step step);
 
   vm_id self_;
   incarnation_id incarnation_;
