Route reads to replicas that satisfy the session

Cause: reads are to run on replicas without breaking read-your-writes or the maximum age. Change: pure router over candidates, the candidates from the group view and the pools; reads may be sent to a replica that has reached the point by its replication rate, since the target verifies the point. The rule for answers takes the age of the data at the answered point, also for the primary. Conclusion: the daemon must hold an answer of the primary with a maximum age until a sample covers it.

--- /dev/null
+++ b/packages/database/read_router.cc
@@ -0,0 +1,134 @@
+#include "database/read_router.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <vector>
+
+namespace bulrushlift {
+namespace {
+
+using candidate_list = std::vector<const read_candidate*>;
+
+bool is_age_satisfied(const read_requirements& read, std::optional<duration> data_age) noexcept {
+  return !read.maximum_age || (data_age && *data_age <= *read.maximum_age);
+}
+
+bool is_usable_replica(const read_candidate& it) noexcept {
+  return !it.is_primary && it.is_reachable && !it.is_leaving && it.is_consistent;
+}
+
+/// @return the time until the replica reaches the required point; 0 if it is expected to have reached
+///     it, nothing without an estimate.
+std::optional<duration> expected_arrival(const read_requirements& read, const read_candidate& it) {
+  if (!read.required_point || !is_usable_replica(it) || !is_age_satisfied(read, it.data_age))
+    return std::nullopt;
+  if (it.point.term != read.required_point->term || it.entries_per_second <= 0) return std::nullopt;
+  const auto missing = static_cast<double>(read.required_point->position.value()) -
+                       static_cast<double>(it.point.position.value());
+  const duration needed{static_cast<duration::rep>(std::ceil(missing / it.entries_per_second * 1e9))};
+  return std::max(duration{}, needed - it.point_age);
+}
+
+/// @return the best candidate: with a free slot, in the data centre, with the least load.
+const read_candidate* best_of(const candidate_list& candidates, const data_centre_id& data_centre,
+                              std::uint64_t random) {
+  const read_candidate* best = nullptr;
+  const auto rank = [&](const read_candidate& it) {
+    return std::tuple{it.free_slots == 0, it.data_centre != data_centre, it.load};
+  };
+  std::uint64_t equals = 0;
+  for (const auto* it : candidates) {
+    if (best == nullptr || rank(*it) < rank(*best)) {
+      best = it;
+      equals = 1;
+    } else if (rank(*it) == rank(*best) && random % ++equals == 0) {
+      best = it;
+    }
+  }
+  return best;
+}
+
+/// The replicas that can serve a read, by what is known of them.
+struct replica_choice {
+  candidate_list eligible;
+  candidate_list expected;                  ///< Expected to have reached the point by now.
+  std::optional<duration> nearest_arrival;  ///< Of the others.
+};
+
+replica_choice choose_replicas(const read_requirements& read, std::span<const read_candidate> candidates) {
+  replica_choice choice;
+  if (read.is_primary_only) return choice;
+  for (const auto& it : candidates) {
+    if (is_eligible(read, it)) {
+      choice.eligible.push_back(&it);
+      continue;
+    }
+    const auto arrival = expected_arrival(read, it);
+    if (!arrival) continue;
+    if (*arrival == duration{}) choice.expected.push_back(&it);
+    if (!choice.nearest_arrival || *arrival < *choice.nearest_arrival) choice.nearest_arrival = arrival;
+  }
+  return choice;
+}
+
+const read_candidate* find_primary(std::span<const read_candidate> candidates) {
+  const auto it =
+      std::ranges::find_if(candidates, [](const auto& c) { return c.is_primary && c.is_reachable; });
+  return it == candidates.end() ? nullptr : &*it;
+}
+
+read_decision wait_or_refuse(const read_requirements& read, std::span<const read_candidate> candidates,
+                             const read_options& options, time_point now) {
+  if (now < read.deadline)
+    return wait_for_point{std::min(read.deadline, now + options.position_poll), "no member"};
+  const bool is_any_reachable = std::ranges::any_of(candidates, &read_candidate::is_reachable);
+  if (is_any_reachable) {
+    return refuse_read{
+        {error_kind::position_unavailable, "no reachable member has the state that the read needs"}};
+  }
+  return refuse_read{{error_kind::target_unavailable, "no target of the service is reachable"}};
+}
+
+}  // namespace
+
+bool is_point_satisfied(const read_requirements& read, log_point point) noexcept {
+  return !read.required_point || point >= *read.required_point;
+}
+
+bool is_eligible(const read_requirements& read, const read_candidate& candidate) noexcept {
+  return is_usable_replica(candidate) && is_point_satisfied(read, candidate.point) &&
+         is_age_satisfied(read, candidate.data_age);
+}
+
+bool is_answer_sufficient(const read_requirements& read, log_point point,
+                          std::optional<duration> data_age) noexcept {
+  return is_point_satisfied(read, point) && is_age_satisfied(read, data_age);
+}
+
+read_decision route_read(const read_requirements& read, std::span<const read_candidate> candidates,
+                         const read_options& options, time_point now, std::uint64_t random) {
+  const auto choice = choose_replicas(read, candidates);
+  const auto* best = best_of(choice.eligible, read.data_centre, random);
+  if (best != nullptr && best->free_slots > 0) return run_read{best->target, true, "fresh replica"};
+  if (options.uses_expected_points) {
+    const auto* expected = best_of(choice.expected, read.data_centre, random);
+    if (expected != nullptr && expected->free_slots > 0)
+      return run_read{expected->target, true, "expected replica"};
+  }
+  const auto* primary = find_primary(candidates);
+  const bool is_primary_free = primary != nullptr && primary->free_slots > 0;
+  const auto wait_end = std::min(read.deadline, read.first_routed + options.replica_wait);
+  if (best != nullptr && now < wait_end) return wait_for_point{wait_end, "replicas busy"};
+  if (!is_primary_free && choice.nearest_arrival && now + *choice.nearest_arrival < wait_end) {
+    const auto until = now + std::max(*choice.nearest_arrival, duration{std::chrono::microseconds{100}});
+    return wait_for_point{std::min(until, wait_end), "replica about to reach the point"};
+  }
+  if (primary != nullptr && is_primary_free) return run_read{primary->target, false, "no replica in time"};
+  // All are busy: the shorter queue is at the member with the least load.
+  if (best != nullptr) return run_read{best->target, true, "busy replica"};
+  if (primary != nullptr) return run_read{primary->target, false, "busy primary"};
+  return wait_or_refuse(read, candidates, options, now);
+}
+
+}  // namespace bulrushlift
--- a/packages/database/read_router.h
+++ b/packages/database/read_router.h
@@ -12,8 +12,8 @@
 #include "base/ids.h"
 
 /// @file
-/// Choice of the target for a read. Pure functions: the daemon fills the
-/// candidates from the blackboard and passes the time.
+/// Choice of the target for a read. Pure functions: `read_candidates.h` fills
+/// the candidates from the blackboard and the daemon passes the time.
 
 namespace bulrushlift {
 
@@ -22,17 +22,21 @@
   target_id target;
   data_centre_id data_centre;
   bool is_primary = false;
-  bool reachable = false;
-  bool leaving = false;
+  bool is_reachable = false;
+  bool is_leaving = false;
+  /// Whether the target's log is known to be a prefix of the primary's log.
+  bool is_consistent = false;
   /// Last known end of the target's log.
   log_point point;
-  /// Bound on the age of the target's data (design 3.4); nothing when no sample covers it.
+  /// Bound on the age of the data at `point` (design 3.4); nothing when no sample covers it.
   std::optional<duration> data_age;
+  /// Time since the target reported `point`.
+  duration point_age{};
   /// Requests that run or wait at this target.
   std::uint32_t load = 0;
   std::uint32_t free_slots = 0;
-  /// Log entries for each second that the target applies; 0 when not known.
-  double replication_rate = 0;
+  /// Log entries for each second that the target applies; 0 while unknown.
+  double entries_per_second = 0;
 };
 
 /// What one read demands.
@@ -43,26 +47,30 @@
   std::optional<duration> maximum_age;
   /// Data centre whose targets are preferred.
   data_centre_id data_centre;
-  time_point deadline;
+  time_point deadline{};
   /// When the read was first routed; bounds the wait for a replica.
-  time_point first_routed;
+  time_point first_routed{};
+  /// A replica answered `behind` or with an insufficient point: only the primary is left.
+  bool is_primary_only = false;
 };
 
 struct read_options {
-  /// Longest wait for a replica that is about to reach the required point.
+  /// Longest wait for a replica that is busy or about to reach the required point.
   duration replica_wait = std::chrono::milliseconds{5};
-  /// Interval between two attempts while no reachable member satisfies the read.
+  /// Interval between two attempts while no member is known to satisfy the read.
   duration position_poll = std::chrono::milliseconds{5};
+  /// Send reads to replicas that are expected to have reached the point by now; the target verifies it.
+  bool uses_expected_points = true;
 };
 
-/// Run the read on this target.
+/// Run the read on this target, with the required point as `min_point`.
 struct run_read {
   target_id target;
-  bool on_replica = false;
+  bool is_replica = false;
   std::string_view reason;  ///< For the decision log.
 };
 
-/// Route the read again at this time or when a member's point changes.
+/// Route the read again at this time, or before when a slot becomes free or a point changes.
 struct wait_for_point {
   time_point until;
   std::string_view reason;
@@ -79,22 +87,27 @@
 /// the required one, by term first (design 3.2).
 [[nodiscard]] bool is_point_satisfied(const read_requirements& read, log_point point) noexcept;
 
-/// Whether the candidate is reachable, not leaving, and meets the point and the maximum age.
+/// Whether the candidate is a replica that is reachable, stays, and is known to meet point and maximum age.
 [[nodiscard]] bool is_eligible(const read_requirements& read, const read_candidate& candidate) noexcept;
 
-/// Chooses an eligible replica: with a free slot first, then in the own data
-/// centre, then the least loaded; `random` breaks ties. Without one, waits for
-/// a replica up to `replica_wait` if the primary has no free slot, else takes
-/// the primary. Without any member that satisfies the session, waits until the
-/// deadline and then refuses.
+/// Chooses an eligible replica with a free slot, in the own data centre first, then the least loaded;
+/// `random` breaks ties. Without one:
+/// - a replica that is expected to have reached the point by now, if the options allow it;
+/// - a wait within `replica_wait` if an eligible replica is busy, or if the primary has no free slot and a
+///   replica is expected to reach the point in time;
+/// - the primary, whose log holds each acknowledged point;
+/// - a wait until the deadline, and then a refusal.
 /// @param random bits from a generator.
 [[nodiscard]] read_decision route_read(const read_requirements& read,
                                        std::span<const read_candidate> candidates,
                                        const read_options& options, time_point now, std::uint64_t random);
 
-/// Whether the answer of a target may be given to the session. If not, the
-/// read runs again on the primary.
+/// Whether the answer of a target may be given to the session. If the answer of a replica is not
+/// sufficient, the read runs again on the primary. The answer of the primary is held until a newer
+/// freshness sample makes it sufficient, or refused as `position_unavailable` at the deadline.
 /// @param point log point at which the read ran, as the target reported it.
-[[nodiscard]] bool is_answer_sufficient(const read_requirements& read, log_point point) noexcept;
+/// @param data_age bound on the age of the data at `point`, when the answer is given.
+[[nodiscard]] bool is_answer_sufficient(const read_requirements& read, log_point point,
+                                        std::optional<duration> data_age) noexcept;
 
 }  // namespace bulrushlift
