--- a/packages/standins/local_fleet.cc
+++ b/packages/standins/local_fleet.cc
@@ -166,16 +166,19 @@
                                      std::to_string(service.slots),
                                      "--connections",
                                      std::to_string(service.connections),
-                                     "--connect-cost-ms",
+                                     "--connection-cost-ms",
                                      std::to_string(service.connect_cost.count()),
                                      "--statement-cost-us",
                                      std::to_string(service.statement_cost.count()),
                                      "--replication-lag-ms",
                                      std::to_string(service.replication_lag.count())};
+    std::string peers;
     for (const auto& name : names) {
       if (name == self) continue;
-      command.insert(command.end(), {"--peer", name + "=" + fleet_.members_.at(name)});
+      if (!peers.empty()) peers += ",";
+      peers += name + "=" + fleet_.members_.at(name);
     }
+    command.insert(command.end(), {"--peers", peers});
     if (self == names.front()) command.insert(command.end(), {"--role", "primary"});
     return command;
   }
@@ -192,7 +195,10 @@
     for (const auto& customer : options_.customers) names.push_back(customer.name);
     for (const auto& service : options_.services) {
       services.push_back(service_object(service));
-      routes.push_back({{"name", service.name}, {"service", service.name}, {"customers", names}});
+      routes.push_back({{"name", service.name},
+                        {"service", service.name},
+                        {"customers", names},
+                        {"read_replicas", options_.read_replicas}});
     }
     json customers = json::array();
     for (const auto& customer : options_.customers) customers.push_back(customer_object(customer));
--- a/packages/standins/local_fleet.h
+++ b/packages/standins/local_fleet.h
@@ -48,6 +48,7 @@
   std::size_t vms = 5;
   std::vector<local_service> services;  ///< Each gets a route of the same name.
   std::vector<local_customer> customers;
+  bool read_replicas = true;  ///< Whether the routes let replicas serve reads.
   std::string timing = "{}";  ///< JSON object for `timing` of each daemon's settings.
   std::string log_level = "info";
   std::uint32_t decision_sampling = 1;
