Remove paused connections from the reactor

Cause: the reactor can't remove a handler with an empty mask, so a paused connection stayed registered after it was destroyed; the address sanitizer found the use after free at the end of the loop. Change: a paused stream keeps the mask for urgent data and notices resets; a paused listener is unregistered. Conclusion: pausing needs no exception in the life of a handler.

--- /dev/null
+++ b/packages/daemon/budget_adapter.cc
@@ -0,0 +1,166 @@
+#include "daemon/budget_adapter.h"
+
+#include <cmath>
+#include <utility>
+
+#include "daemon/peer_adapter.h"
+
+namespace bulrushlift {
+namespace {
+
+constexpr double millitokens_per_token = 1'000;
+
+budget_options options_of(const settings& values) {
+  budget_options options;
+  options.loan_lifetime = values.timing.loan_lifetime;
+  options.loan_wait = values.timing.loan_wait;
+  options.dissemination_bound = values.timing.dissemination_bound;
+  return options;
+}
+
+millitokens tokens_of(double value) {
+  return millitokens{static_cast<std::int64_t>(std::llround(value * millitokens_per_token))};
+}
+
+budget_document budget_document_of(const document& configuration) {
+  budget_document budgets;
+  for (const auto& each : configuration.vms()) budgets.vms.push_back(each.name);
+  for (const auto& each : configuration.customers()) {
+    budgets.customers[each.name] = {tokens_of(each.rate_per_second), tokens_of(each.burst)};
+  }
+  return budgets;
+}
+
+std::int64_t signed_of(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+std::uint64_t unsigned_of(std::int64_t value) { return static_cast<std::uint64_t>(value); }
+
+}  // namespace
+
+budget_adapter::budget_adapter(daemon_context& context, peer_adapter& peers)
+    : context_(context),
+      peers_(peers),
+      controller_(context.options.vm, context.incarnation, options_of(context.options)),
+      timer_(context.loop) {}
+
+void budget_adapter::configure() {
+  perform(controller_.apply_document(budget_document_of(context_.board.configuration), context_.loop.now()));
+}
+
+void budget_adapter::admit(const customer_id& customer, admit_callback done) {
+  // Requests without a key have no rate of their own; the fair queue bounds them.
+  if (customer == anonymous_customer()) {
+    done({});
+    return;
+  }
+  budget_actions actions;
+  const auto decision =
+      controller_.admit(customer, whole_tokens(1), context_.loop.now(), context_.random(), actions);
+  if (const auto* wait = std::get_if<waits_for_loan>(&decision)) {
+    waiting_.emplace(wait->ticket, std::move(done));
+    perform(actions);
+    return;
+  }
+  perform(actions);
+  if (const auto* refusal = std::get_if<refused>(&decision)) {
+    done(tl::unexpected<error>(refusal->reason));
+  } else {
+    done({});
+  }
+}
+
+peer::loan_reply_t budget_adapter::lend(const peer::loan_request_t& wire) {
+  loan_request request;
+  request.sender = vm_id{wire.sender};
+  request.incarnation = incarnation_id{unsigned_of(wire.incarnation)};
+  request.customer = customer_id{wire.customer};
+  request.amount = millitokens{wire.millitokens};
+  for (const auto& use : wire.used) {
+    request.used.push_back({loan_id{unsigned_of(use.loan)}, millitokens{use.used_millitokens}});
+  }
+  reply_ = {};
+  reply_.customer = wire.customer;
+  perform(controller_.on_loan_request(request, context_.loop.now()));
+  return reply_;
+}
+
+void budget_adapter::update_members() {
+  std::set<vm_id> unreachable;
+  for (const auto& each : context_.board.members) {
+    if (each.state != member_state::alive) unreachable.insert(each.vm);
+  }
+  controller_.set_unreachable(std::move(unreachable));
+}
+
+std::optional<budget_entry> budget_adapter::entry(const customer_id& customer) {
+  return controller_.entry(customer, context_.loop.now());
+}
+
+void budget_adapter::perform(const budget_actions& actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& each) { run(each); }, action);
+  }
+  rearm();
+}
+
+void budget_adapter::run(const ask_loan& action) {
+  peer::loan_request_t wire;
+  wire.sender = action.request.sender.str();
+  wire.incarnation = signed_of(action.request.incarnation.value());
+  wire.customer = action.request.customer.str();
+  wire.millitokens = action.request.amount.value();
+  for (const auto& use : action.request.used) {
+    peer::loan_use_t each;
+    each.loan = signed_of(use.loan.value());
+    each.used_millitokens = use.used.value();
+    wire.used.push_back(each);
+  }
+  wire.generation = signed_of(context_.board.configuration.generation().value());
+  peer::envelope_t message;
+  message.__set_loan_request(wire);
+  const auto request = action.request;
+  const auto home = action.home;
+  peers_.request(
+      home, std::move(message), context_.options.timing.loan_lifetime,
+      [this, home, request](const result<peer::envelope_t>& reply) {
+        if (!reply || !reply->__isset.loan_reply) {
+          perform(controller_.on_loan_failed(home, request.customer, request.id, context_.loop.now()));
+          return;
+        }
+        const auto& grant = reply->loan_reply;
+        // The link matches the reply to its request, so the wire form has no request id.
+        perform(
+            controller_.on_loan_reply(home,
+                                      {request.id, request.customer, loan_id{unsigned_of(grant.loan)},
+                                       millitokens{grant.millitokens}, millitokens{grant.level_millitokens}},
+                                      context_.loop.now()));
+      });
+}
+
+void budget_adapter::run(const answer_loan& action) {
+  reply_.loan = signed_of(action.reply.loan.value());
+  reply_.millitokens = action.reply.amount.value();
+  reply_.level_millitokens = action.reply.level.value();
+}
+
+void budget_adapter::run(const resume_request& action) { finish(action.ticket, {}); }
+
+void budget_adapter::run(const refuse_request& action) {
+  finish(action.ticket, tl::unexpected<error>(action.reason));
+}
+
+void budget_adapter::finish(budget_ticket ticket, const result<void>& value) {
+  const auto node = waiting_.extract(ticket);
+  if (!node.empty()) node.mapped()(value);
+}
+
+void budget_adapter::rearm() {
+  const auto due = controller_.next_timer();
+  if (!due) {
+    timer_.cancel();
+    return;
+  }
+  timer_.set(*due - context_.loop.now(),
+             [this] { perform(controller_.on_timer(context_.loop.now(), context_.random())); });
+}
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/bulrushliftd_main.cc
@@ -0,0 +1,95 @@
+#include <fmt/format.h>
+
+#include <chrono>
+#include <cstdio>
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <vector>
+
+#include "base/digest.h"
+#include "base/log.h"
+#include "daemon/command_line.h"
+#include "daemon/daemon.h"
+
+namespace {
+
+using namespace bulrushlift;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+
+result<settings> load_settings(const std::string& path) {
+  std::ifstream file{path, std::ios::binary};
+  if (!file) return make_error(error_kind::invalid_settings, fmt::format("cannot read \"{}\"", path));
+  const std::string text{std::istreambuf_iterator<char>{file}, {}};
+  return parse_settings(text);
+}
+
+std::uint64_t random_seed() {
+  std::uint64_t seed = 0;
+  for (const char byte : random_bytes(sizeof seed)) seed = (seed << 8U) | static_cast<unsigned char>(byte);
+  return seed;
+}
+
+incarnation_id start_incarnation() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return incarnation_id{
+      static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count())};
+}
+
+int run(const settings& options) {
+  auto secrets = authenticator::create(options.token_secrets);
+  if (!secrets) {
+    fmt::print(stderr, "bulrushliftd: {}\n", secrets.error().message);
+    return exit_failed;
+  }
+  log_options logs;
+  logs.level = options.log.level;
+  logs.vm = options.vm.str();
+  logs.decision_sampling = options.log.decision_sampling;
+  configure_logs(logs);
+
+  daemon_context context{options, std::move(*secrets), start_incarnation(), random_seed()};
+  proxy_daemon proxy{context};
+  const auto bound = proxy.start();
+  if (!bound) {
+    log_error("start_failed", {{"reason", bound.error().message}});
+    return exit_failed;
+  }
+  log_info("started", {{"callers", bound->callers.str()},
+                       {"peers", bound->peers.str()},
+                       {"admin", bound->admin.str()},
+                       {"incarnation", context.incarnation.value()}});
+  fmt::print("{{\"callers\":\"{}\",\"peers\":\"{}\",\"admin\":\"{}\"}}\n", bound->callers.str(),
+             bound->peers.str(), bound->admin.str());
+  std::fflush(stdout);
+  context.loop.run();
+  log_info("stopped", {});
+  return exit_ok;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto parsed = parse_command_line({argv, argv + argc});
+  if (!parsed) {
+    fmt::print(stderr, "bulrushliftd: {}\nTry 'bulrushliftd --help'.\n", parsed.error().message);
+    return exit_usage;
+  }
+  if (parsed->is_help_wanted) {
+    fmt::print("{}", usage_text());
+    return exit_ok;
+  }
+  if (parsed->is_version_wanted) {
+    fmt::print("bulrushliftd {}\n", BULRUSHLIFT_VERSION);
+    return exit_ok;
+  }
+  const auto options = load_settings(parsed->settings_path);
+  if (!options) {
+    fmt::print(stderr, "bulrushliftd: {}\n", options.error().message);
+    return exit_failed;
+  }
+  return run(*options);
+}
--- /dev/null
+++ b/packages/daemon/command_line.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+
+/// @file
+/// Command line of `bulrushliftd`.
+
+namespace bulrushlift {
+
+struct command_line {
+  bool is_help_wanted = false;
+  bool is_version_wanted = false;
+  std::string settings_path;
+};
+
+/// @return the options, or `bad_request` with a message for the user.
+[[nodiscard]] result<command_line> parse_command_line(const std::vector<std::string>& arguments);
+
+/// @return the text of --help.
+[[nodiscard]] std::string usage_text();
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/configuration_adapter.cc
@@ -0,0 +1,188 @@
+#include "daemon/configuration_adapter.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "base/log.h"
+
+namespace bulrushlift {
+namespace {
+
+using nlohmann::json;
+
+constexpr duration tick_interval = std::chrono::milliseconds{100};
+// The controller gives up its calls itself; these bounds only free their connections.
+constexpr duration call_timeout = std::chrono::seconds{5};
+constexpr int status_ok = 200;
+constexpr int status_not_modified = 304;
+constexpr int status_not_found = 404;
+
+std::optional<store_answer> read_object(const http_response& response) {
+  if (response.status == status_not_modified) return store_unchanged{};
+  if (response.status == status_not_found) return store_missing{};
+  if (response.status != status_ok) return std::nullopt;
+  const auto body = json::parse(response.body, nullptr, false);
+  if (!body.is_object() || !body.contains("version") || !body.contains("value")) return std::nullopt;
+  if (!body["version"].is_number_unsigned()) return std::nullopt;
+  store_object object;
+  object.version = object_version{body["version"].get<std::uint64_t>()};
+  object.value = body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump();
+  return object;
+}
+
+std::optional<std::vector<platform_vm>> read_vms(const http_response& response) {
+  const auto body = json::parse(response.body, nullptr, false);
+  if (response.status != status_ok || !body.is_object() || !body.contains("vms")) return std::nullopt;
+  std::vector<platform_vm> vms;
+  for (const auto& each : body["vms"]) {
+    if (!each.is_object()) continue;
+    platform_vm vm;
+    vm.name = each.value("name", "");
+    vm.address = network_address{each.value("address", "")};
+    vm.leaving = each.value("state", "") == "leaving";
+    vms.push_back(std::move(vm));
+  }
+  return vms;
+}
+
+key_ring key_ring_of(const document& configuration) {
+  std::vector<customer_keys> customers;
+  for (const auto& each : configuration.customers()) {
+    customer_keys keys{each.name, {}};
+    for (const auto& key : each.keys) keys.keys.push_back({key.id, key.digest, key.state});
+    customers.push_back(std::move(keys));
+  }
+  return key_ring{customers};
+}
+
+}  // namespace
+
+configuration_adapter::configuration_adapter(daemon_context& context, platform_client& platform,
+                                             peer_adapter& peers, callbacks report)
+    : context_(context),
+      platform_(platform),
+      peers_(peers),
+      report_(std::move(report)),
+      controller_(context.options, context.random()),
+      tick_timer_(context.loop) {}
+
+void configuration_adapter::start() {
+  schedule_tick();
+  perform(controller_.tick(context_.loop.now()));
+}
+
+void configuration_adapter::schedule_tick() {
+  tick_timer_.set(tick_interval, [this] {
+    schedule_tick();
+    perform(controller_.tick(context_.loop.now()));
+  });
+}
+
+void configuration_adapter::update_members() {
+  std::vector<configuration_member> members;
+  for (const auto& each : context_.board.members) {
+    members.push_back({each.vm, each.data_centre, is_serving(each.state)});
+  }
+  controller_.members_changed(std::move(members));
+}
+
+void configuration_adapter::on_peer_status(const vm_id& peer, const configuration_status& status,
+                                           std::optional<time_point> asked_at) {
+  perform(controller_.peer_reported(context_.loop.now(), peer, status, asked_at));
+}
+
+peer::document_reply_t configuration_adapter::answer_peer(const peer::document_request_t& wire) const {
+  const auto answer = controller_.answer_peer(context_.loop.now(),
+                                              generation_id{static_cast<std::uint64_t>(wire.generation)});
+  peer::document_reply_t reply;
+  reply.generation = static_cast<std::int64_t>(answer.status.generation.value());
+  reply.text = answer.text;
+  const auto& age = answer.status.confirmed_age;
+  reply.confirmed_age_ms = age ? std::chrono::ceil<std::chrono::milliseconds>(*age).count() : -1;
+  for (const auto& each : answer.leaving_targets) reply.leaving_targets.push_back(each.str());
+  return reply;
+}
+
+void configuration_adapter::perform(const configuration_actions& actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& each) { run(each); }, action);
+  }
+}
+
+void configuration_adapter::run(const read_store& action) {
+  http_request request;
+  request.target = "/v1/objects/" + action.path;
+  if (action.watch_after) {
+    request.target +=
+        fmt::format("?watch_after={}&timeout_ms={}", action.watch_after->value(), action.wait.count());
+  }
+  platform_.call(request, action.wait + call_timeout,
+                 [this, call = action.call](const result<http_response>& response) {
+                   const auto answer = response ? read_object(*response) : std::nullopt;
+                   if (answer) {
+                     perform(controller_.store_answered(context_.loop.now(), call, *answer));
+                   } else {
+                     controller_.store_failed(context_.loop.now(), call);
+                   }
+                 });
+}
+
+void configuration_adapter::run(const list_vms& action) {
+  http_request request;
+  request.target = "/v1/vms";
+  platform_.call(request, call_timeout, [this, call = action.call](const result<http_response>& response) {
+    const auto vms = response ? read_vms(*response) : std::nullopt;
+    if (vms) {
+      perform(controller_.vms_listed(context_.loop.now(), call, *vms));
+    } else {
+      controller_.store_failed(context_.loop.now(), call);
+    }
+  });
+}
+
+void configuration_adapter::run(const ask_peer& action) {
+  peer::document_request_t wire;
+  wire.generation = static_cast<std::int64_t>(action.generation.value());
+  peer::envelope_t message;
+  message.__set_document_request(wire);
+  peers_.request(action.peer, std::move(message), call_timeout,
+                 [this, call = action.call](const result<peer::envelope_t>& reply) {
+                   if (!reply || !reply->__isset.document_reply) {
+                     controller_.peer_failed(context_.loop.now(), call);
+                     return;
+                   }
+                   const auto& body = reply->document_reply;
+                   peer_document answer;
+                   answer.status.generation = generation_id{static_cast<std::uint64_t>(body.generation)};
+                   if (body.confirmed_age_ms >= 0) {
+                     answer.status.confirmed_age = std::chrono::milliseconds{body.confirmed_age_ms};
+                   }
+                   answer.text = body.text;
+                   for (const auto& each : body.leaving_targets) answer.leaving_targets.emplace_back(each);
+                   perform(controller_.peer_answered(context_.loop.now(), call, answer));
+                 });
+}
+
+void configuration_adapter::run(const apply_document& action) {
+  context_.board.configuration = action.in_force;
+  context_.board.keys = key_ring_of(action.in_force);
+  log_info("configuration_applied",
+           {{"generation", action.in_force.generation().value()}, {"source", action.source}});
+  report_.on_changed();
+}
+
+void configuration_adapter::run(const reject_document& action) {
+  log_error("configuration_rejected", {{"generation", action.generation.value()},
+                                       {"source", action.source},
+                                       {"reason", action.reason.message}});
+}
+
+void configuration_adapter::run(const apply_leaving_targets& action) {
+  context_.board.leaving_targets = {action.targets.begin(), action.targets.end()};
+  log_info("leaving_targets", {{"count", static_cast<std::uint64_t>(action.targets.size())}});
+  report_.on_changed();
+}
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/configuration_adapter.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <peer_types.h>
+
+#include <functional>
+
+#include "daemon/context.h"
+#include "daemon/peer_adapter.h"
+#include "daemon/platform_client.h"
+#include "fleet/configuration_controller.h"
+
+/// @file
+/// Runs the configuration controller: calls to the store and to peers, and the
+/// document in force on the blackboard.
+
+namespace bulrushlift {
+
+class configuration_adapter {
+ public:
+  struct callbacks {
+    /// The document or the leaving targets on the blackboard changed.
+    std::function<void()> on_changed;
+  };
+
+  configuration_adapter(daemon_context& context, platform_client& platform, peer_adapter& peers,
+                        callbacks report);
+
+  /// Starts the first calls.
+  void start();
+
+  /// The members on the blackboard changed.
+  void update_members();
+  void on_peer_status(const vm_id& peer, const configuration_status& status,
+                      std::optional<time_point> asked_at);
+  [[nodiscard]] peer::document_reply_t answer_peer(const peer::document_request_t& wire) const;
+
+  [[nodiscard]] freshness state() const { return controller_.freshness_at(context_.loop.now()); }
+  [[nodiscard]] configuration_status status() const { return controller_.status_at(context_.loop.now()); }
+  [[nodiscard]] bool is_watcher() const { return controller_.is_watcher(); }
+
+ private:
+  void perform(const configuration_actions& actions);
+  void run(const read_store& action);
+  void run(const list_vms& action);
+  void run(const ask_peer& action);
+  void run(const apply_document& action);
+  void run(const reject_document& action);
+  void run(const apply_leaving_targets& action);
+  void schedule_tick();
+
+  daemon_context& context_;
+  platform_client& platform_;
+  peer_adapter& peers_;
+  callbacks report_;
+  configuration_controller controller_;
+  scoped_timer tick_timer_;
+};
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/daemon.cc
@@ -0,0 +1,169 @@
+#include "daemon/daemon.h"
+
+#include <csignal>
+#include <utility>
+
+#include "base/log.h"
+#include "daemon/relay_messages.h"
+
+namespace bulrushlift {
+namespace {
+
+// Attempts to find a port that is free for both TCP and UDP, when the kernel chooses it.
+constexpr int port_attempts = 16;
+
+http_limits limits_of(const settings& options) {
+  http_limits limits;
+  limits.head_bytes = static_cast<std::uint32_t>(options.limits.head_bytes);
+  limits.body_bytes = options.limits.body_bytes;
+  limits.connections = options.limits.caller_connections;
+  limits.queued_bytes = options.limits.queued_bytes;
+  limits.idle_time = options.timing.caller_idle;
+  limits.request_time = options.timing.caller_request;
+  limits.send_time = options.timing.caller_request;
+  return limits;
+}
+
+result<net_address> address_of(const network_address& text) {
+  auto address = parse_address(text.str());
+  if (!address) return make_error(error_kind::invalid_settings, address.error().message);
+  return address;
+}
+
+}  // namespace
+
+proxy_daemon::proxy_daemon(daemon_context& context)
+    : context_(context),
+      platform_(context),
+      peers_(context),
+      configuration_(context, platform_, peers_, {[this] { on_configuration_changed(); }}),
+      budgets_(context, peers_),
+      router_(context, peers_),
+      pipeline_(context, configuration_, budgets_, router_),
+      callers_(context.loop, limits_of(context.options),
+               [this](const http_request& request, const http_responder& respond) {
+                 pipeline_.handle(request, respond);
+               }),
+      peer_listener_(context.loop, {},
+                     [this](const peer::envelope_t& message, const peer_responder& respond) {
+                       on_peer_message(message, respond);
+                     }),
+      drain_(context, {[this] { return count_work(); }, [this] { membership_->leave(); },
+                       [this] { callers_.stop_listening(); }, [this] { callers_.close_after_answers(); },
+                       [this] { router_.end_remaining(); }, [this] { context_.loop.stop(); }}),
+      admin_(context, configuration_, router_, drain_, budgets_, callers_),
+      admin_server_(context.loop, {},
+                    [this](const http_request& request, const http_responder& respond) {
+                      admin_.handle(request, respond);
+                    }),
+      reconfigure_timer_(context.loop) {}
+
+proxy_daemon::~proxy_daemon() = default;
+
+result<bound_addresses> proxy_daemon::start() {
+  const auto callers = address_of(context_.options.caller_listen);
+  const auto peers = address_of(context_.options.peer_listen);
+  const auto admin = address_of(context_.options.admin_listen);
+  for (const auto* each : {&callers, &peers, &admin}) {
+    if (!*each) return tl::unexpected<error>(each->error());
+  }
+  bound_addresses bound;
+  const auto bound_peers = listen_for_peers(*peers);
+  if (!bound_peers) return tl::unexpected<error>(bound_peers.error());
+  bound.peers = *bound_peers;
+  const auto bound_admin = admin_server_.listen(*admin);
+  if (!bound_admin) return tl::unexpected<error>(bound_admin.error());
+  bound.admin = *bound_admin;
+  const auto bound_callers = callers_.listen(*callers);
+  if (!bound_callers) return tl::unexpected<error>(bound_callers.error());
+  bound.callers = *bound_callers;
+
+  for (const int number : {SIGTERM, SIGINT}) {
+    if (!context_.loop.on_signal(number, [this] { drain_.start("signal"); })) {
+      return make_error(error_kind::io_error, "cannot watch the termination signals");
+    }
+  }
+  configuration_.update_members();
+  configuration_.start();
+  return bound;
+}
+
+result<net_address> proxy_daemon::listen_for_peers(const net_address& address) {
+  const membership_adapter::callbacks report{
+      [this] { on_members_changed(); }, [this] { context_.loop.stop(); },
+      [this] { return configuration_.status(); },
+      [this](const vm_id& peer, const configuration_status& status, std::optional<time_point> asked_at) {
+        configuration_.on_peer_status(peer, status, asked_at);
+      }};
+  result<net_address> bound;
+  for (int i = 0; i < port_attempts; ++i) {
+    bound = peer_listener_.listen(address);
+    if (!bound) return bound;
+    membership_ = std::make_unique<membership_adapter>(context_, peers_, bound->str(), report);
+    const auto datagrams = membership_->open(*bound);
+    if (datagrams) return bound;
+    bound = tl::unexpected<error>(datagrams.error());
+    if (address.port != 0) break;
+  }
+  return bound;
+}
+
+void proxy_daemon::on_members_changed() {
+  configuration_.update_members();
+  budgets_.update_members();
+  router_.update();
+}
+
+void proxy_daemon::on_configuration_changed() {
+  // Several changes of one turn are applied together, after the controller's event.
+  if (reconfigure_timer_.is_set()) return;
+  reconfigure_timer_.set(duration::zero(), [this] {
+    std::vector<member_seed> seeds;
+    for (const auto& each : context_.board.configuration.vms()) {
+      seeds.push_back({each.name, each.peer_address.str(), each.data_centre});
+    }
+    membership_->set_seeds(seeds);
+    budgets_.configure();
+    router_.update();
+  });
+}
+
+void proxy_daemon::on_peer_message(const peer::envelope_t& message, const peer_responder& respond) {
+  peer::envelope_t reply;
+  if (message.__isset.relay_request) {
+    relay(message.relay_request, respond);
+  } else if (message.__isset.loan_request) {
+    reply.__set_loan_reply(budgets_.lend(message.loan_request));
+    respond(std::move(reply));
+  } else if (message.__isset.document_request) {
+    reply.__set_document_reply(configuration_.answer_peer(message.document_request));
+    respond(std::move(reply));
+  } else if (message.__isset.leave) {
+    membership_->on_leave(message.leave);
+  } else {
+    respond(error{error_kind::protocol_error, "unknown kind of message", std::nullopt, outcome::not_run});
+  }
+}
+
+void proxy_daemon::relay(const peer::relay_request_t& wire, const peer_responder& respond) {
+  auto request = from_wire(wire, context_.loop.now());
+  if (!request) {
+    respond(error{error_kind::protocol_error, request.error().message, std::nullopt, outcome::not_run});
+    return;
+  }
+  router_.submit_relayed(std::move(*request), [respond](const result<service_reply>& answer) {
+    peer::envelope_t reply;
+    reply.__set_relay_reply(to_wire(answer));
+    respond(std::move(reply));
+  });
+}
+
+drain_counts proxy_daemon::count_work() const {
+  drain_counts counts;
+  counts.requests = callers_.pending_requests() + router_.pending_requests();
+  counts.transactions = router_.open_transactions();
+  counts.unsent_bytes = callers_.queued_bytes();
+  return counts;
+}
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/daemon.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <memory>
+
+#include "daemon/admin.h"
+#include "daemon/budget_adapter.h"
+#include "daemon/configuration_adapter.h"
+#include "daemon/context.h"
+#include "daemon/drain_adapter.h"
+#include "daemon/membership_adapter.h"
+#include "daemon/peer_adapter.h"
+#include "daemon/pipeline.h"
+#include "daemon/platform_client.h"
+#include "daemon/route.h"
+#include "net/http_server.h"
+#include "net/peer_link.h"
+
+/// @file
+/// One proxy: its listeners and the connections between its parts.
+
+namespace bulrushlift {
+
+/// Addresses that the listeners are bound to.
+struct bound_addresses {
+  net_address callers;
+  net_address peers;
+  net_address admin;
+};
+
+class proxy_daemon {
+ public:
+  /// @param context outlives the daemon.
+  explicit proxy_daemon(daemon_context& context);
+  proxy_daemon(const proxy_daemon&) = delete;
+  proxy_daemon& operator=(const proxy_daemon&) = delete;
+  ~proxy_daemon();
+
+  /// Binds the listeners and starts all parts.
+  /// @return the addresses, or `io_error`.
+  [[nodiscard]] result<bound_addresses> start();
+
+ private:
+  [[nodiscard]] result<net_address> listen_for_peers(const net_address& address);
+  void on_members_changed();
+  void on_configuration_changed();
+  void on_peer_message(const peer::envelope_t& message, const peer_responder& respond);
+  void relay(const peer::relay_request_t& wire, const peer_responder& respond);
+  [[nodiscard]] drain_counts count_work() const;
+
+  daemon_context& context_;
+  platform_client platform_;
+  peer_adapter peers_;
+  configuration_adapter configuration_;
+  budget_adapter budgets_;
+  request_router router_;
+  caller_pipeline pipeline_;
+  http_server callers_;
+  peer_server peer_listener_;
+  drain_adapter drain_;
+  admin_interface admin_;
+  http_server admin_server_;
+  std::unique_ptr<membership_adapter> membership_;
+  scoped_timer reconfigure_timer_;
+};
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/membership_adapter.cc
@@ -0,0 +1,211 @@
+#include "daemon/membership_adapter.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/log.h"
+#include "peer_protocol/frame.h"
+
+namespace bulrushlift {
+namespace {
+
+// An ack that is later than this tells nothing about the age of a configuration.
+constexpr duration ack_memory = std::chrono::seconds{10};
+
+std::int64_t signed_of(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+std::uint64_t unsigned_of(std::int64_t value) { return static_cast<std::uint64_t>(value); }
+
+peer::member_t to_wire(const member& value) {
+  peer::member_t wire;
+  wire.vm = value.vm.str();
+  wire.address = value.address;
+  wire.data_centre = value.data_centre.str();
+  wire.incarnation = signed_of(value.incarnation.value());
+  wire.state = std::string{name_of(value.state)};
+  return wire;
+}
+
+std::vector<peer::member_t> to_wire(const std::vector<member>& values) {
+  std::vector<peer::member_t> wire;
+  for (const auto& each : values) wire.push_back(to_wire(each));
+  return wire;
+}
+
+std::vector<member> from_wire(const std::vector<peer::member_t>& wire) {
+  std::vector<member> values;
+  for (const auto& each : wire) {
+    const auto state = member_state_from_name(each.state);
+    if (!state) continue;
+    values.push_back({vm_id{each.vm}, each.address, data_centre_id{each.data_centre},
+                      incarnation_id{unsigned_of(each.incarnation)}, *state});
+  }
+  return values;
+}
+
+peer::configuration_status_t to_wire(const configuration_status& status) {
+  peer::configuration_status_t wire;
+  wire.generation = signed_of(status.generation.value());
+  // A negative age means that there was no confirmation.
+  wire.confirmed_age_ms =
+      status.confirmed_age ? std::chrono::ceil<std::chrono::milliseconds>(*status.confirmed_age).count() : -1;
+  return wire;
+}
+
+configuration_status from_wire(const peer::configuration_status_t& wire) {
+  configuration_status status;
+  status.generation = generation_id{unsigned_of(wire.generation)};
+  if (wire.confirmed_age_ms >= 0) status.confirmed_age = std::chrono::milliseconds{wire.confirmed_age_ms};
+  return status;
+}
+
+membership_message message_of(const peer::envelope_t& envelope) {
+  membership_message message;
+  message.id = unsigned_of(envelope.id);
+  if (envelope.__isset.ping) {
+    const auto& ping = envelope.ping;
+    message.kind =
+        ping.__isset.target ? membership_message_kind::indirect_ping : membership_message_kind::ping;
+    message.sender = vm_id{ping.sender};
+    message.incarnation = incarnation_id{unsigned_of(ping.incarnation)};
+    message.subject = vm_id{ping.target};
+    message.updates = from_wire(ping.updates);
+    return message;
+  }
+  const auto& ack = envelope.ack;
+  message.kind = membership_message_kind::ack;
+  message.sender = vm_id{ack.sender};
+  message.incarnation = incarnation_id{unsigned_of(ack.incarnation)};
+  message.subject = vm_id{ack.subject};
+  message.updates = from_wire(ack.updates);
+  return message;
+}
+
+peer::envelope_t envelope_of(const membership_message& message, const configuration_status& status) {
+  peer::envelope_t envelope;
+  envelope.id = signed_of(message.id);
+  if (message.kind == membership_message_kind::ack) {
+    peer::ack_t ack;
+    ack.sender = message.sender.str();
+    ack.incarnation = signed_of(message.incarnation.value());
+    ack.updates = to_wire(message.updates);
+    ack.configuration = to_wire(status);
+    ack.subject = message.subject.str();
+    envelope.__set_ack(ack);
+    return envelope;
+  }
+  peer::ping_t ping;
+  ping.sender = message.sender.str();
+  ping.incarnation = signed_of(message.incarnation.value());
+  ping.updates = to_wire(message.updates);
+  ping.configuration = to_wire(status);
+  if (message.kind == membership_message_kind::indirect_ping) ping.__set_target(message.subject.str());
+  envelope.__set_ping(ping);
+  return envelope;
+}
+
+}  // namespace
+
+membership_adapter::membership_adapter(daemon_context& context, peer_adapter& peers,
+                                       const std::string& address, callbacks report)
+    : context_(context),
+      peers_(peers),
+      report_(std::move(report)),
+      controller_({context.options.vm, address, context.options.data_centre, context.incarnation,
+                   member_state::alive},
+                  {}),
+      socket_(context.loop,
+              [this](const net_address& from, std::string_view bytes) { on_datagram(from, bytes); }),
+      timer_(context.loop) {
+  publish();
+}
+
+result<net_address> membership_adapter::open(const net_address& address) {
+  auto bound = socket_.open(address);
+  if (bound) rearm();
+  return bound;
+}
+
+void membership_adapter::set_seeds(const std::vector<member_seed>& seeds) {
+  perform(controller_.set_seeds(seeds, context_.loop.now()));
+}
+
+void membership_adapter::on_leave(const peer::leave_t& message) {
+  perform(controller_.on_leave(vm_id{message.sender}, incarnation_id{unsigned_of(message.incarnation)},
+                               context_.loop.now()));
+}
+
+void membership_adapter::leave() { perform(controller_.leave(context_.loop.now())); }
+
+void membership_adapter::on_datagram(const net_address& from, std::string_view bytes) {
+  const auto envelope = decode_envelope(bytes);
+  if (!envelope || !(envelope->__isset.ping || envelope->__isset.ack)) {
+    log_debug("datagram_ignored", {{"from", from.str()}});
+    return;
+  }
+  const auto message = message_of(*envelope);
+  const auto& wire = envelope->__isset.ping ? envelope->ping.configuration : envelope->ack.configuration;
+  std::optional<time_point> asked_at;
+  // Only the ack of the pinged member itself answers this VM's question directly.
+  if (message.kind == membership_message_kind::ack && message.sender == message.subject) {
+    const auto found = sent_pings_.find(envelope->id);
+    if (found != sent_pings_.end()) asked_at = found->second;
+  }
+  perform(controller_.on_message(message, from.str(), context_.loop.now(), context_.random()));
+  report_.on_status(message.sender, from_wire(wire), asked_at);
+}
+
+void membership_adapter::perform(const membership_actions& actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& each) { run(each); }, action);
+  }
+  if (std::exchange(is_changed_, false)) {
+    publish();
+    report_.on_members_changed();
+  }
+  rearm();
+}
+
+void membership_adapter::run(const send_membership& action) {
+  const auto to = parse_address(action.address);
+  if (!to) return;
+  if (action.message.kind == membership_message_kind::ping) {
+    const auto now = context_.loop.now();
+    std::erase_if(sent_pings_, [now](const auto& entry) { return now - entry.second > ack_memory; });
+    sent_pings_[signed_of(action.message.id)] = now;
+  }
+  socket_.send(*to, encode_envelope(envelope_of(action.message, report_.status())));
+}
+
+void membership_adapter::run(const member_changed& action) {
+  is_changed_ = true;
+  log_info("member_changed", {{"member", action.now.vm.str()},
+                              {"state", name_of(action.now.state)},
+                              {"address", action.now.address},
+                              {"incarnation", action.now.incarnation.value()}});
+}
+
+void membership_adapter::run(const send_leave& action) {
+  peer::leave_t leave;
+  leave.sender = context_.options.vm.str();
+  leave.incarnation = signed_of(action.incarnation.value());
+  peer::envelope_t envelope;
+  envelope.__set_leave(leave);
+  peers_.send(action.address, std::move(envelope));
+}
+
+void membership_adapter::run(const stop_instance& action) {
+  log_error("instance_superseded", {{"successor", action.successor.value()}});
+  report_.on_stop();
+}
+
+void membership_adapter::publish() {
+  context_.board.members = controller_.members();
+  peers_.prune();
+}
+
+void membership_adapter::rearm() {
+  timer_.set(controller_.next_timer() - context_.loop.now(),
+             [this] { perform(controller_.on_timer(context_.loop.now(), context_.random())); });
+}
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/pipeline.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <cstdint>
+
+#include "daemon/accept.h"
+#include "daemon/budget_adapter.h"
+#include "daemon/configuration_adapter.h"
+#include "daemon/context.h"
+#include "daemon/route.h"
+#include "net/http_server.h"
+#include "session/session_token.h"
+
+/// @file
+/// The way of a caller's request: accept, authenticate, admit, route, execute,
+/// acknowledge, answer.
+
+namespace bulrushlift {
+
+class caller_pipeline {
+ public:
+  caller_pipeline(daemon_context& context, configuration_adapter& configuration, budget_adapter& budgets,
+                  request_router& router);
+
+  /// Handles a request of the callers' listener.
+  void handle(const http_request& request, const http_responder& respond);
+
+ private:
+  /// A caller's request between two steps.
+  struct passage {
+    request_id id;
+    caller_request request;
+    customer_id customer;
+    http_responder respond;
+    time_point start;
+    time_point deadline;
+  };
+
+  void admit(passage&& it);
+  void route(passage&& it);
+  void execute(const passage& it, service_request&& request, const session_token& session);
+  void answer(const passage& it, const session_token& session, const service_id& service,
+              const result<service_reply>& reply);
+  void refuse(const passage& it, const error& reason);
+  void record(const passage& it, std::string_view kind);
+  [[nodiscard]] http_response health(bool is_ready) const;
+
+  daemon_context& context_;
+  configuration_adapter& configuration_;
+  budget_adapter& budgets_;
+  request_router& router_;
+  metric_summary& latency_;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/daemon/route.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "daemon/context.h"
+#include "daemon/execute.h"
+#include "daemon/peer_adapter.h"
+#include "fleet/ownership.h"
+
+/// @file
+/// Pipeline step "route": to the executor of this VM or to the owner's VM.
+
+namespace bulrushlift {
+
+class request_router {
+ public:
+  request_router(daemon_context& context, peer_adapter& peers);
+  request_router(const request_router&) = delete;
+  request_router& operator=(const request_router&) = delete;
+  ~request_router();
+
+  /// The document, the leaving targets or the members on the blackboard changed.
+  void update();
+
+  /// Runs a caller's request here or at its owner. `done` is called once.
+  void submit(service_request request, reply_callback done);
+
+  /// Runs a request that a peer relayed, here or not at all.
+  void submit_relayed(service_request request, const reply_callback& done);
+
+  /// Ends everything that runs here with what is known of it.
+  void end_remaining();
+
+  [[nodiscard]] std::size_t pending_requests() const;
+  [[nodiscard]] std::size_t open_transactions() const;
+  [[nodiscard]] const std::map<service_id, std::unique_ptr<service_executor>>& executors() const noexcept {
+    return executors_;
+  }
+  [[nodiscard]] const ownership_controller& ownership() const noexcept { return ownership_; }
+
+ private:
+  struct relay;
+  using relay_pointer = std::shared_ptr<relay>;
+
+  void attempt(const relay_pointer& it);
+  void send(const relay_pointer& it, const vm_id& owner);
+  void on_reply(const relay_pointer& it, const vm_id& owner, const result<service_reply>& reply);
+  void retry_later(const relay_pointer& it, error cause);
+  void finish(const relay_pointer& it, const result<service_reply>& reply);
+  [[nodiscard]] std::optional<vm_id> owner_of(const relay& it) const;
+  [[nodiscard]] service_executor* executor_of(const service_id& service) const;
+  void run(const take_ownership& action);
+  void run(const give_up_ownership& action);
+
+  daemon_context& context_;
+  peer_adapter& peers_;
+  ownership_controller ownership_;
+  std::map<service_id, std::unique_ptr<service_executor>> executors_;
+  std::map<service_id, retry_budget> budgets_;
+  std::vector<relay_pointer> relays_;
+  std::size_t pending_ = 0;
+};
+
+}  // namespace bulrushlift
--- a/packages/net/http_test.cc
+++ b/packages/net/http_test.cc
@@ -114,6 +114,27 @@
   CHECK(caller.received.find("/last") != std::string::npos);
 }
 
+// Guards against a paused connection that stays registered after its caller has gone.
+TEST_CASE("a caller that resets a paused connection is noticed") {
+  event_loop loop;
+  http_limits limits;
+  limits.pipelined_requests = 1;
+  echo_server echo{loop, limits};
+  auto caller = std::make_unique<raw_caller>(loop, echo.address);
+  loop.run_for(20s);
+  caller->stream.write(get("/later") + get("/later"));
+  run_until(loop, [&] { return echo.later.size() == 1; });
+  echo.later[0](json_response(200, std::string(1'000, 'a')));
+  run_until(loop, [&] { return echo.later.size() == 2; });
+  // Closing with unread bytes resets the connection.
+  caller->stream.pause_reading(true);
+  echo.later[1](json_response(200, std::string(100'000, 'b')));
+  loop.run_for(5ms);
+  caller.reset();
+  run_until(loop, [&] { return echo.closed == 1; });
+  CHECK(echo.server.connection_count() == 0);
+}
+
 // Guards against an answer for a connection that is gone.
 TEST_CASE("a responder outlives its connection and its server") {
   event_loop loop;
--- a/packages/net/tcp_listener.cc
+++ b/packages/net/tcp_listener.cc
@@ -75,17 +75,20 @@
 
   void pause() {
     log_error("accept_paused", {{"reason", "no descriptor is free"}});
-    loop_.reactor().mask_ops(this, ACE_Event_Handler::NULL_MASK, ACE_Reactor::SET_MASK);
+    loop_.reactor().remove_handler(this, ACE_Event_Handler::ACCEPT_MASK | ACE_Event_Handler::DONT_CALL);
+    is_paused_ = true;
     loop_.schedule(accept_pause, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (!self || self->get_handle() == ACE_INVALID_HANDLE) return;
-      self->loop_.reactor().mask_ops(self.get(), ACE_Event_Handler::ACCEPT_MASK, ACE_Reactor::SET_MASK);
+      self->is_paused_ = false;
+      self->loop_.reactor().register_handler(self.get(), ACE_Event_Handler::ACCEPT_MASK);
     });
   }
 
   event_loop& loop_;
   accept_callback on_accept_;
   ACE_SOCK_Acceptor acceptor_;
+  bool is_paused_ = false;
 };
 
 tcp_listener::tcp_listener(event_loop& loop, accept_callback on_accept)
--- a/packages/net/tcp_stream.cc
+++ b/packages/net/tcp_stream.cc
@@ -133,12 +133,21 @@
     return 0;
   }
 
-  int handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/) override { return 0; }
+  int handle_exception(ACE_HANDLE /*handle*/) override { return 0; }
+
+  // Called only when the reactor removed this handler after an error or hang-up that came
+  // while no bytes were awaited.
+  int handle_close(ACE_HANDLE /*handle*/, ACE_Reactor_Mask /*mask*/) override {
+    is_registered_ = false;
+    fail_later({error_kind::io_error, "the connection was reset"});
+    return 0;
+  }
 
  private:
   bool register_events() {
     mask_ = is_connecting_ ? ACE_Event_Handler::CONNECT_MASK : ACE_Event_Handler::READ_MASK;
-    return loop_.reactor().register_handler(this, mask_) == 0;
+    is_registered_ = loop_.reactor().register_handler(this, mask_) == 0;
+    return is_registered_;
   }
 
   int finish_connect() {
@@ -178,10 +187,12 @@
   }
 
   void update_mask() {
-    if (!is_open() || is_connecting_) return;
+    if (!is_open() || is_connecting_ || !is_registered_) return;
     ACE_Reactor_Mask wanted = ACE_Event_Handler::NULL_MASK;
     if (!is_paused_) wanted |= ACE_Event_Handler::READ_MASK;
     if (!queue_.empty()) wanted |= ACE_Event_Handler::WRITE_MASK;
+    // The reactor can't remove a handler whose mask is empty; urgent data is never sent.
+    if (wanted == ACE_Event_Handler::NULL_MASK) wanted = ACE_Event_Handler::EXCEPT_MASK;
     if (wanted == mask_) return;
     mask_ = wanted;
     loop_.reactor().mask_ops(this, wanted, ACE_Reactor::SET_MASK);
@@ -200,7 +211,8 @@
 
   void release() {
     if (!is_open()) return;
-    loop_.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    if (is_registered_)
+      loop_.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
     socket_.close();
     is_connecting_ = false;
     // The reactor may be inside a call of this handler, so it lives until the next turn.
@@ -214,6 +226,7 @@
   std::string queue_;
   std::size_t queue_start_ = 0;
   std::uint64_t sent_bytes_ = 0;
+  bool is_registered_ = false;
   bool is_connecting_ = false;
   bool is_connected_ = false;
   bool is_paused_ = false;
