--- a/packages/document/json_tree.h
+++ b/packages/document/json_tree.h
@@ -22,6 +22,8 @@
 struct json_node {
   json_type type = json_type::null;
   std::size_t line = 1;
+  std::size_t begin = 0;  ///< Offset of the first character in the text.
+  std::size_t end = 0;    ///< Offset after the last character.
   bool flag = false;
   double number = 0;
   std::string text;                ///< The text, or the number as it was written.
--- a/packages/document/settings.h
+++ b/packages/document/settings.h
@@ -96,6 +96,9 @@
 /// @return all errors, in the order of their lines; empty if the text is valid.
 [[nodiscard]] findings check_settings(std::string_view text);
 
+/// @return whether the text is meant as settings, and not as an environment document.
+[[nodiscard]] bool is_settings_text(std::string_view text);
+
 /// @param text JSON with comments.
 /// @return the settings, or `invalid_settings` with all errors, one a line.
 [[nodiscard]] result<settings> parse_settings(std::string_view text);
--- a/packages/document/settings_schema.cc
+++ b/packages/document/settings_schema.cc
@@ -198,6 +198,12 @@
   return read_settings(text, value);
 }
 
+bool is_settings_text(std::string_view text) {
+  findings ignored;
+  const auto tree = internal::parse_json(text, ignored);
+  return tree && (tree->find("vm") != nullptr || tree->find("caller_listen") != nullptr);
+}
+
 result<settings> parse_settings(std::string_view text) {
   settings value;
   const auto found = read_settings(text, value);
--- a/packages/standins/platform_server.cc
+++ b/packages/standins/platform_server.cc
@@ -139,7 +139,7 @@
       server_(loop, standin_limits(), [this](const http_request& request, const http_responder& respond) {
         handle(request, respond);
       }) {
-  server_.on_close([this](connection_id closed) {
+  server_.on_close([this](http_connection_id closed) {
     std::erase_if(waiting_, [&](const auto& entry) {
       if (entry.second.connection != closed) return false;
       model_.forget(entry.first);
--- a/packages/standins/platform_server.h
+++ b/packages/standins/platform_server.h
@@ -34,7 +34,7 @@
 
  private:
   struct waiting_call {
-    connection_id connection;
+    http_connection_id connection;
     store_call_kind kind;
     http_responder respond;
   };
