--- a/packages/fleet/drain_controller.h
+++ b/packages/fleet/drain_controller.h
@@ -58,7 +58,9 @@
                                   end_remaining, exit_process>;
 using drain_actions = std::vector<drain_action>;
 
-/// Controller of the drain of one process.
+/// Controller of the drain of one process. While it drains, requests on open and new connections are
+/// still served, as the load balancer needs `readiness_time` to notice; new transactions begin at the
+/// new owner.
 class drain_controller {
  public:
   explicit drain_controller(drain_options options = {}) : options_(options) {}
@@ -76,13 +78,16 @@
 
  private:
   [[nodiscard]] drain_actions advance(time_point now);
+  [[nodiscard]] time_point listener_end() const noexcept { return started_ + options_.readiness_time; }
+  [[nodiscard]] time_point work_end() const noexcept { return started_ + options_.drain_time; }
+  [[nodiscard]] time_point last_end() const noexcept { return work_end() + options_.flush_time; }
 
   drain_options options_;
   drain_state state_ = drain_state::running;
   drain_counts counts_;
   time_point started_{};
-  bool listener_closed_ = false;
-  bool ended_remaining_ = false;
+  bool is_listener_closed_ = false;
+  bool is_work_ended_ = false;
 };
 
 }  // namespace bulrushlift
