--- a/packages/fleet/membership_simulator_fake.h
+++ b/packages/fleet/membership_simulator_fake.h
@@ -102,6 +102,8 @@
 
   [[nodiscard]] time_point now() const noexcept { return clock_.now(); }
   [[nodiscard]] const std::vector<instance>& instances() const noexcept { return instances_; }
+  /// @return the machine's time that all controllers have used; for benchmarks.
+  [[nodiscard]] duration controller_time() const noexcept { return controller_time_; }
   /// Set to watch messages and changes.
   send_observer on_send;
   change_observer on_change;
@@ -125,6 +127,14 @@
   }
   bool happens(double probability) { return std::bernoulli_distribution{probability}(random_); }
 
+  template <class Call>
+  membership_actions timed(Call call) {
+    const auto start = std::chrono::steady_clock::now();
+    auto actions = call();
+    controller_time_ += std::chrono::steady_clock::now() - start;
+    return actions;
+  }
+
   void at(time_point when, std::function<void()> run) { events_.push({when, ++order_, std::move(run)}); }
 
   /// Runs `run` now, or after the pause of the process.
@@ -141,7 +151,7 @@
   void tick(std::size_t index) {
     run_at_instance(index, [this, index] {
       auto& controller = *instances_[index].controller;
-      handle(index, controller.on_timer(now(), random_()));
+      handle(index, timed([&] { return controller.on_timer(now(), random_()); }));
       if (!controller.is_stopped())
         at(std::max(controller.next_timer(), now()), [this, index] { tick(index); });
     });
@@ -193,6 +203,7 @@
   std::set<std::pair<std::size_t, std::size_t>> blocked_;
   std::priority_queue<timed_event> events_;
   std::uint64_t order_ = 0;
+  duration controller_time_{};
 };
 
 }  // namespace bulrushlift
