--- a/packages/daemon/acknowledge.cc
+++ b/packages/daemon/acknowledge.cc
@@ -1,4 +1,5 @@
 #include <charconv>
+#include <utility>
 
 #include "daemon/execute.h"
 
@@ -29,7 +30,31 @@
 
 void service_executor::on_acknowledged(const request_id& id) {
   const auto it = find(ticket_of(id));
-  if (it && it->state == phase::acknowledging) finish(it, it->reply);
+  if (!it || it->state != phase::acknowledging) return;
+  if (it->kind == request_class::write || is_sufficient(*it)) {
+    finish(it, it->reply);
+    return;
+  }
+  it->state = phase::holding;
+  held_answers_.push_back(it);
+}
+
+bool service_executor::is_sufficient(const task& it) const {
+  const auto& point = *it.reply.point;
+  return is_answer_sufficient(requirements_of(it), point, data_age(group_.view(), point, now()));
+}
+
+void service_executor::release_held_answers() {
+  const auto held = std::exchange(held_answers_, {});
+  for (const auto& it : held) {
+    if (is_sufficient(*it)) {
+      finish(it, it->reply);
+    } else if (it->request.deadline <= now()) {
+      refuse(it, {error_kind::position_unavailable, "no member is known to meet the maximum age"});
+    } else {
+      held_answers_.push_back(it);
+    }
+  }
 }
 
 void service_executor::on_unacknowledged(const request_id& id) {
--- a/packages/daemon/command_line.cc
+++ b/packages/daemon/command_line.cc
@@ -14,6 +14,7 @@
                                                   {nullptr, 0, nullptr, 0}}};
   std::vector<std::string> copies = arguments;
   std::vector<char*> pointers;
+  pointers.reserve(copies.size() + 1);
   for (auto& each : copies) pointers.push_back(each.data());
   pointers.push_back(nullptr);
   const int count = static_cast<int>(copies.size());
--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -227,6 +227,9 @@
     end_step(it, answer);
   } else if (!answer) {
     fail_attempt(it, failure_point::after_send, answer.error());
+  } else if (answer->error_kind == "behind" && it->is_on_replica) {
+    it->must_use_primary = true;
+    enqueue(it);
   } else if (!answer->error_kind.empty()) {
     fail_attempt(it, point_of(*answer), error_of(*answer));
   } else {
@@ -249,8 +252,9 @@
     await_acknowledgement(it, std::move(reply));
     return;
   }
-  if (is_answer_sufficient(requirements_of(*it), *answer.point)) {
-    finish(it, reply);
+  it->reply = std::move(reply);
+  if (is_sufficient(*it)) {
+    finish(it, it->reply);
     return;
   }
   it->must_use_primary = true;
@@ -301,7 +305,8 @@
 void service_executor::refuse_queued(const error& cause) {
   std::vector<task_pointer> waiting;
   for (const auto& [ticket, it] : tasks_) {
-    const bool is_waiting = it->state != phase::running && it->state != phase::acknowledging;
+    const bool is_waiting =
+        it->state != phase::running && it->state != phase::acknowledging && it->state != phase::holding;
     if (is_waiting && !it->transaction) waiting.push_back(it);
   }
   held_writes_.clear();
@@ -327,6 +332,7 @@
   update_slots();
   const auto term = group_.view().term;
   if (std::exchange(last_term_, term) != term) perform(transactions_.on_term_changed(service_, term, now()));
+  release_held_answers();
   if (queue_.size() > 0 || !held_writes_.empty() || !parked_reads_.empty()) schedule_pump();
 }
 
@@ -365,6 +371,7 @@
     }
   }
   perform(transactions_.on_timer(now()));
+  release_held_answers();
   pump();
 }
 
@@ -374,6 +381,7 @@
   if (const auto deadline = queue_.next_deadline()) add(*deadline);
   for (const auto& it : held_writes_) add(it->request.deadline);
   for (const auto& it : parked_reads_) add(std::min(it->wake, it->request.deadline));
+  for (const auto& it : held_answers_) add(it->request.deadline);
   if (due) {
     wake_timer_.set(*due - now(), [this] { expire(); });
   } else {
--- a/packages/daemon/execute.h
+++ b/packages/daemon/execute.h
@@ -54,7 +54,7 @@
   void on_capacity(const target_id& target) override;
 
  private:
-  enum class phase { queued, held, parked, running, acknowledging, pausing };
+  enum class phase { queued, held, parked, running, acknowledging, holding, pausing };
   struct task {
     service_request request;
     reply_callback done;
@@ -99,7 +99,7 @@
   void pump_reads();
   void route(const task_pointer& it);
   void park(const task_pointer& it, time_point wake);
-  void collect_candidates(const task& it, time_point now);
+  void collect_candidates(time_point now);
   [[nodiscard]] bool has_read_capacity() const;
   [[nodiscard]] read_requirements requirements_of(const task& it) const;
 
@@ -118,6 +118,8 @@
   void await_acknowledgement(const task_pointer& it, service_reply reply);
   void on_acknowledged(const request_id& id);
   void on_unacknowledged(const request_id& id);
+  void release_held_answers();
+  [[nodiscard]] bool is_sufficient(const task& it) const;
 
   [[nodiscard]] time_point now() const { return context_.loop.now(); }
 
@@ -129,6 +131,7 @@
   fair_queue queue_;
   std::deque<task_pointer> held_writes_;  ///< Taken from the queue before a connection was free.
   std::vector<task_pointer> parked_reads_;
+  std::vector<task_pointer> held_answers_;  ///< Of the primary, too old for their requests so far.
   std::map<target_id, std::unique_ptr<target_connections>> targets_;
   retry_budget budget_;
   retry_options retry_options_;
@@ -137,6 +140,7 @@
   std::map<transaction_id, std::string> transaction_names_;
   std::map<ticket_id, transaction_id> rollbacks_;
   std::vector<read_candidate> candidates_;
+  std::map<target_id, pool_view> pool_views_;
   term_id last_term_;
   bool is_pumping_ = false;
   bool is_pump_wanted_ = false;
--- a/packages/daemon/execute_read.cc
+++ b/packages/daemon/execute_read.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "daemon/execute.h"
+#include "database/read_candidates.h"
 
 namespace bulrushlift {
 namespace {
@@ -39,7 +40,7 @@
     finish(it, tl::unexpected<error>(it->attempts.on_deadline()));
     return;
   }
-  collect_candidates(*it, time);
+  collect_candidates(time);
   const auto decision = route_read(requirements_of(*it), candidates_, read_options_, time, context_.random());
   if (const auto* wait = std::get_if<wait_for_point>(&decision)) {
     park(it, wait->until);
@@ -50,8 +51,13 @@
     return;
   }
   const auto& chosen = std::get<run_read>(decision);
-  it->is_on_replica = chosen.on_replica;
-  if (!start_single(it, *targets_.at(chosen.target), std::nullopt)) {
+  it->is_on_replica = chosen.is_replica;
+  const auto target = targets_.find(chosen.target);
+  if (target == targets_.end()) {
+    park(it, time + read_options_.position_poll);
+    return;
+  }
+  if (!start_single(it, *target->second, std::nullopt)) {
     park(it, it->request.deadline);
     return;
   }
@@ -69,27 +75,13 @@
   parked_reads_.push_back(it);
 }
 
-void service_executor::collect_candidates(const task& it, time_point now) {
-  candidates_.clear();
-  const auto& view = group_.view();
-  const bool is_primary_only = it.must_use_primary || !it.request.may_use_replicas;
-  for (const auto& each : view.targets) {
-    const auto found = targets_.find(each.target);
-    const bool is_primary = each.target == view.primary;
-    if (found == targets_.end() || (is_primary_only && !is_primary) || !is_consistent(view, each)) continue;
-    const auto pool = found->second->view();
-    read_candidate candidate;
-    candidate.target = each.target;
-    candidate.data_centre = each.data_centre;
-    candidate.is_primary = is_primary;
-    candidate.reachable = each.is_reachable;
-    candidate.leaving = each.is_leaving;
-    candidate.point = each.point;
-    if (it.request.max_age) candidate.data_age = data_age(view, each.point, now);
-    candidate.load = pool.slots_in_use;
-    candidate.free_slots = std::min(pool.free_slots(), pool.idle);
-    candidate.replication_rate = each.entries_per_second;
-    candidates_.push_back(std::move(candidate));
+void service_executor::collect_candidates(time_point now) {
+  for (const auto& [name, connections] : targets_) pool_views_[name] = connections->view();
+  candidates_ = make_read_candidates(group_.view(), pool_views_, now);
+  for (auto& each : candidates_) {
+    // A slot is of no use to a new request without an idle connection.
+    const auto found = pool_views_.find(each.target);
+    if (found != pool_views_.end()) each.free_slots = std::min(each.free_slots, found->second.idle);
   }
 }
 
@@ -100,6 +92,7 @@
   requirements.data_centre = context_.options.data_centre;
   requirements.deadline = it.request.deadline;
   requirements.first_routed = it.first_routed;
+  requirements.is_primary_only = it.must_use_primary || !it.request.may_use_replicas;
   return requirements;
 }
 
--- a/packages/limits/key_ring.h
+++ b/packages/limits/key_ring.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <compare>
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
