--- a/packages/net/event_loop.cc
+++ b/packages/net/event_loop.cc
@@ -30,11 +30,33 @@
   return ACE_Time_Value{std::chrono::ceil<std::chrono::microseconds>(positive)};
 }
 
-std::size_t handle_bound(std::size_t wanted) {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return wanted;
-  return std::min<std::size_t>(wanted, limit.rlim_max);
-}
+// A descriptor's number must be below the size of the reactor's table, also when other
+// parts of the process hold the lower numbers.
+constexpr std::size_t usual_handles = 65'536;
+
+/// Chooses the size of the reactor's table and keeps the process limit, which the
+/// reactor otherwise lowers to that size.
+class handle_limit {
+ public:
+  handle_limit() { is_known_ = getrlimit(RLIMIT_NOFILE, &limit_) == 0; }
+  handle_limit(const handle_limit&) = delete;
+  handle_limit& operator=(const handle_limit&) = delete;
+  ~handle_limit() {
+    rlimit current{};
+    if (!is_known_ || getrlimit(RLIMIT_NOFILE, &current) != 0) return;
+    if (current.rlim_cur < limit_.rlim_cur) setrlimit(RLIMIT_NOFILE, &limit_);
+  }
+
+  [[nodiscard]] std::size_t table_size(std::size_t wanted) const {
+    if (!is_known_) return wanted;
+    const auto in_use = std::min<std::size_t>(limit_.rlim_cur, usual_handles);
+    return std::min<std::size_t>(std::max(wanted, in_use), limit_.rlim_max);
+  }
+
+ private:
+  rlimit limit_{};
+  bool is_known_ = false;
+};
 
 /// Its address is the argument of its timeout.
 struct timer_entry {
@@ -99,7 +121,8 @@
 event_loop::event_loop(std::size_t max_handles) {
   // A write to a closed connection is reported by its error code.
   std::signal(SIGPIPE, SIG_IGN);
-  state_ = std::make_unique<state>(handle_bound(max_handles));
+  const handle_limit limit;
+  state_ = std::make_unique<state>(limit.table_size(max_handles));
 }
 
 event_loop::~event_loop() {
--- a/packages/net/event_loop.h
+++ b/packages/net/event_loop.h
@@ -25,7 +25,7 @@
 /// Owns the reactor and the timers. All calls come from the thread that runs it.
 class event_loop {
  public:
-  /// @param max_handles bound of open descriptors; the process limit applies below it.
+  /// @param max_handles descriptors that must be usable, as far as the process limit allows.
   explicit event_loop(std::size_t max_handles = 65'536);
   event_loop(const event_loop&) = delete;
   event_loop& operator=(const event_loop&) = delete;
--- a/packages/net/event_loop_test.cc
+++ b/packages/net/event_loop_test.cc
@@ -1,5 +1,7 @@
 #include "net/event_loop.h"
 
+#include <sys/resource.h>
+
 #include <catch2/catch.hpp>
 #include <csignal>
 #include <vector>
@@ -58,6 +60,21 @@
   CHECK(calls == 2);
 }
 
+// Guards against a small loop that takes descriptors from the rest of the process.
+TEST_CASE("a loop does not lower the limit of descriptors") {
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  {
+    const event_loop loop{64};
+    rlimit during{};
+    REQUIRE(getrlimit(RLIMIT_NOFILE, &during) == 0);
+    CHECK(during.rlim_cur >= before.rlim_cur);
+  }
+  rlimit after{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &after) == 0);
+  CHECK(after.rlim_cur >= before.rlim_cur);
+}
+
 // Guards against a termination signal that is lost or handled in the signal context.
 TEST_CASE("signals arrive in the loop") {
   event_loop loop;
