Add the operator's program

Cause: operators need to check, try and promote documents, manage customers and keys, and see and drain the fleet. Change: bulrushlift with 16 commands on the typed platform client; promotion by conditional update that repeats a write of unknown outcome safely, reads back, keeps history first and recognises its own write also after a later promotion. Conclusion: status and drain wait for the daemon's admin listener.

--- /dev/null
+++ b/packages/cli/bulrushlift_main.cc
@@ -0,0 +1,12 @@
+#include <iostream>
+
+#include "cli/command.h"
+
+/// @file
+/// The operator's program; `bulrushlift --help` describes it.
+
+int main(int argc, char** argv) {
+  bulrushlift::event_loop loop{256};
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return bulrushlift::run_cli(loop, arguments, std::cout, std::cerr);
+}
--- /dev/null
+++ b/packages/cli/commands_test.cc
@@ -0,0 +1,212 @@
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "base/digest.h"
+#include "cli/command.h"
+#include "document/document.h"
+#include "standins/platform_server.h"
+
+namespace bulrushlift {
+namespace {
+
+const std::string examples = BULRUSHLIFT_SOURCE_DIR "/examples/";
+
+std::string read_file(const std::string& path) {
+  std::ifstream file{path, std::ios::binary};
+  REQUIRE(file);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// The program and the platform on one event loop.
+class cli_fixture {
+ public:
+  cli_fixture() : platform(loop), address(platform.listen({"127.0.0.1", 0}).value()) {}
+
+  /// @return the exit code; output and problems are in the members.
+  int run(std::vector<std::string> arguments) {
+    std::ostringstream out_stream;
+    std::ostringstream problem_stream;
+    arguments.insert(arguments.end(), {"--platform", address.str(), "--environment", "teranga"});
+    const int code = run_cli(loop, arguments, out_stream, problem_stream);
+    out = out_stream.str();
+    problems = problem_stream.str();
+    return code;
+  }
+
+  void promote_example() {
+    REQUIRE(run({"trial", examples + "teranga.jsonc"}) == 0);
+    REQUIRE(run({"promote"}) == 0);
+  }
+
+  [[nodiscard]] document in_force() {
+    REQUIRE(run({"show"}) == 0);
+    return parse_document(out, generation_id{1}).value();
+  }
+
+  event_loop loop;
+  platform_server platform;
+  net_address address;
+  std::string out;
+  std::string problems;
+};
+
+// Guards against examples that a change of the schema breaks, and against errors that are not all shown.
+TEST_CASE("check accepts the examples and lists all errors of a wrong file") {
+  cli_fixture it;
+  for (const auto& entry : std::filesystem::recursive_directory_iterator{examples}) {
+    if (!entry.is_regular_file()) continue;
+    INFO(entry.path());
+    CHECK(it.run({"check", entry.path()}) == 0);
+  }
+  const std::string wrong = BULRUSHLIFT_SOURCE_DIR "/packages/document/corpus/wrong_types.jsonc";
+  CHECK(it.run({"check", wrong}) == 3);
+  CHECK(it.out.find(wrong + ":1: services[0]: must be an object, is a list\n") != std::string::npos);
+  CHECK(it.out.find(wrong + ":1: customers[0].name: the field is missing\n") != std::string::npos);
+  CHECK(it.run({"check", wrong, "--json"}) == 3);
+  CHECK(nlohmann::json::parse(it.out)["valid"] == false);
+}
+
+// Guards against commands that change the bytes of a document on the way.
+TEST_CASE("trial, promote, show and history keep the exact document") {
+  cli_fixture it;
+  CHECK(it.run({"show"}) == 5);
+  it.promote_example();
+  CHECK(it.out.find("generation 1 is in force") == 0);
+  REQUIRE(it.run({"show"}) == 0);
+  CHECK(it.out == read_file(examples + "teranga.jsonc"));
+  REQUIRE(it.run({"customer", "set-rate", "kora-stock", "--rate", "300", "--burst", "60"}) == 0);
+  REQUIRE(it.run({"diff", examples + "teranga.jsonc"}) == 0);
+  CHECK(it.out ==
+        "~ customer kora-stock: burst 60 -> 50, rate_per_second 300 -> 250\n"
+        "warning: customer kora-stock gets a lower rate or burst at once\n");
+  REQUIRE(it.run({"show", "1"}) == 0);
+  CHECK(it.out == read_file(examples + "teranga.jsonc"));
+  REQUIRE(it.run({"history", "--json"}) == 0);
+  CHECK(nlohmann::json::parse(it.out).size() == 2);
+}
+
+// Guards against a candidate that another operator replaced, or that was tried before another promotion.
+TEST_CASE("promote refuses a candidate that is not the operator's or that is outdated") {
+  cli_fixture it;
+  it.promote_example();
+  REQUIRE(it.run({"trial", examples + "teranga.jsonc"}) == 0);
+  CHECK(it.run({"promote", "--digest", "0000"}) == 4);
+  REQUIRE(it.run({"key", "revoke", "kora-stock-1"}) == 0);
+  CHECK(it.run({"promote"}) == 4);
+  CHECK(it.problems.find("generation 2 is in force") != std::string::npos);
+  CHECK(it.run({"trial", examples + "frostguard.jsonc"}) == 3);
+}
+
+// Guards against a key in the store, and against an unusable one in the operator's hands.
+TEST_CASE("a new key is printed once and only its digest is kept") {
+  cli_fixture it;
+  it.promote_example();
+  REQUIRE(it.run({"key", "create", "kora-stock", "--id", "kora-2"}) == 0);
+  const auto key = it.out.substr(0, it.out.size() - 1);
+  CHECK(key.starts_with("blk_kora-2_"));
+  CHECK(it.in_force().find_key(key_id{"kora-2"}).key->digest == sha256(key));
+  for (const auto* path : {"environments/teranga/production", "environments/teranga/trial"}) {
+    const auto* object = it.platform.model().newest(path);
+    REQUIRE(object != nullptr);
+    CHECK(object->value.find(key.substr(11)) == std::string::npos);
+  }
+  CHECK(it.run({"key", "create", "kora-stock", "--id", "kora-2"}) == 4);
+  REQUIRE(it.run({"key", "revoke", "kora-2"}) == 0);
+  CHECK(it.in_force().find_key(key_id{"kora-2"}).key->state == key_state::revoked);
+}
+
+// Guards against customers that are added and cannot call, and against invalid sizes in force.
+TEST_CASE("customers are added to routes and listed") {
+  cli_fixture it;
+  it.promote_example();
+  const std::vector<std::string> add{"customer", "add", "fouta-miel", "--rate", "20",
+                                     "--burst",  "5",   "--route",    "orders"};
+  REQUIRE(it.run(add) == 0);
+  const auto document = it.in_force();
+  CHECK(document.is_allowed(*document.find_route(route_id{"orders"}), customer_id{"fouta-miel"}));
+  CHECK(it.run(add) == 4);
+  CHECK(it.run({"customer", "set-rate", "fouta-miel", "--rate", "0"}) == 3);
+  CHECK(it.run({"customer", "set-rate", "none", "--rate", "1"}) == 5);
+  REQUIRE(it.run({"customer", "list", "--json"}) == 0);
+  CHECK(nlohmann::json::parse(it.out).size() == 9);
+  REQUIRE(it.run({"route", "list"}) == 0);
+  CHECK(it.out.find("fouta-miel") != std::string::npos);
+  REQUIRE(it.run({"key", "list", "lac-rose-sel", "--json"}) == 0);
+  CHECK(nlohmann::json::parse(it.out)[0]["key"] == "lac-rose-sel-1");
+}
+
+// Guards against exit codes that tell a script the wrong thing about an unreachable platform.
+TEST_CASE("an unreachable platform is told apart from an unknown outcome") {
+  cli_fixture it;
+  it.promote_example();
+  it.platform.model().set_faults({.lose_answers = 2});
+  CHECK(it.run({"key", "revoke", "kora-stock-1"}) == 0);
+  CHECK(it.in_force().find_key(key_id{"kora-stock-1"}).key->state == key_state::revoked);
+  it.address.port = 1;
+  CHECK(it.run({"show"}) == 6);
+}
+
+// Guards against a status that one unreachable VM hides, and a drain of the wrong VM.
+TEST_CASE("status and drain reach the admin listeners") {
+  cli_fixture it;
+  std::vector<std::string> seen;
+  http_server admin{
+      it.loop, {}, [&](const http_request& request, const http_responder& respond) {
+        seen.push_back(request.method + " " + request.target);
+        respond(json_response(200, R"({"vm": "entry-1", "data_centre": "thies", "drain": "running",
+                        "freshness": "fresh", "generation": 3, "services": [{"service": "orders",
+                        "primary": "orders-1", "term": 4, "position": 17}]})"));
+      }};
+  const auto bound = admin.listen({"127.0.0.1", 0}).value();
+  const auto put = [&](const std::string& vm, const std::string& where) {
+    const nlohmann::json value = nlohmann::json{{"vm", vm}, {"admin", where}}.dump();
+    (void)it.platform.model().handle(
+        it.loop.now(), {.call = store_call_kind::put, .path = "status/vms/" + vm, .value = value.dump()});
+  };
+  put("entry-1", bound.str());
+  put("entry-2", "127.0.0.1:1");
+  REQUIRE(it.run({"status"}) == 0);
+  CHECK(it.out ==
+        "VM       DATA_CENTRE  ADMIN            DRAIN        FRESHNESS  GENERATION\n"
+        "entry-1  thies        " +
+            bound.str() +
+            "  running      fresh      3\n"
+            "entry-2  -            127.0.0.1:1      unreachable  -          -\n"
+            "\nSERVICE  OWNER    PRIMARY   TERM  POSITION\n"
+            "orders   entry-1  orders-1  4     17\n");
+  CHECK(it.run({"drain", "entry-1"}) == 0);
+  CHECK(seen == std::vector<std::string>{"GET /v1/status", "POST /v1/drain"});
+  CHECK(it.run({"drain", "entry-2"}) == 6);
+  CHECK(it.run({"drain", "entry-9"}) == 5);
+}
+
+// Guards against commands without help, and against examples in it that the program does not understand.
+TEST_CASE("each command has help with an example that names it") {
+  cli_fixture it;
+  REQUIRE(it.run({"--help"}) == 0);
+  for (auto commands : {document_commands(), customer_commands(), fleet_commands()}) {
+    for (const auto& command : commands) {
+      CHECK(it.out.find("  " + command.usage) != std::string::npos);
+      CHECK(command.example.starts_with(command.name));
+      std::ostringstream help;
+      std::ostringstream problems;
+      std::istringstream words{command.name};
+      std::vector<std::string> arguments{std::istream_iterator<std::string>{words}, {}};
+      arguments.emplace_back("--help");
+      CHECK(run_cli(it.loop, arguments, help, problems) == 0);
+      CHECK(help.str().find("Example:\n  bulrushlift " + command.example) != std::string::npos);
+    }
+  }
+  CHECK(it.run({"--version"}) == 0);
+  CHECK(it.run({"no-such-command"}) == 2);
+  CHECK(it.run({"check"}) == 2);
+  CHECK(it.run({"show", "--no-such-option"}) == 2);
+}
+
+}  // namespace
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/cli/object_store_fake.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "cli/object_store.h"
+#include "standins/object_store_model.h"
+
+/// @file
+/// A store in memory for tests of the promotion.
+
+namespace bulrushlift {
+
+/// Calls the model of the platform directly.
+class object_store_fake {
+ public:
+  explicit object_store_fake(object_store_model& model) : model_(&model) {}
+
+  /// Runs before each write, with the path: another operator acts here, or a fault begins.
+  std::function<void(std::string_view)> before_put;
+  /// Runs after each write, before its answer.
+  std::function<void(std::string_view)> after_put;
+
+  [[nodiscard]] result<platform_object> get(std::string_view path) {
+    const auto reply = call({.id = 1, .call = store_call_kind::get, .path = std::string{path}});
+    if (reply.status == 404) return make_error(error_kind::not_found, "404");
+    if (reply.status != 200) return lost();
+    const auto& found = reply.objects.at(0);
+    return platform_object{found.path, found.version, nlohmann::json::parse(found.value).get<std::string>()};
+  }
+
+  [[nodiscard]] result<object_version> put(std::string_view path, std::string_view value,
+                                           std::optional<object_version> if_version) {
+    if (before_put) before_put(path);
+    const auto reply = call({.id = 1,
+                             .call = store_call_kind::put,
+                             .path = std::string{path},
+                             .value = nlohmann::json(value).dump(),
+                             .if_version = if_version});
+    if (after_put) after_put(path);
+    if (reply.status == 409) return make_error(error_kind::conflict, "409");
+    if (reply.status != 200) return lost();
+    return reply.version;
+  }
+
+ private:
+  store_reply call(const store_request& request) { return model_->handle(time_point{}, request).at(0); }
+
+  static tl::unexpected<error> lost() { return make_error(error_kind::platform_unavailable, "no answer"); }
+
+  object_store_model* model_;
+};
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/cli/platform_session.cc
@@ -0,0 +1,121 @@
+#include "cli/platform_session.h"
+
+#include <fmt/format.h>
+
+#include <deque>
+#include <functional>
+#include <utility>
+
+#include "base/digest.h"
+
+namespace bulrushlift {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr seconds admin_timeout{2};
+
+/// Seeds the jitter differently in each process.
+std::uint64_t random_seed() {
+  std::uint64_t seed = 0;
+  for (const char c : random_bytes(sizeof(seed))) seed = seed << 8U | static_cast<unsigned char>(c);
+  return seed;
+}
+
+platform_client_options session_options() {
+  platform_client_options options;
+  options.pacing = call_pacer::options{};
+  options.seed = random_seed();
+  return options;
+}
+
+/// Starts a call and runs the loop until it is answered; the client's timeouts end every call.
+template <class T, class Start>
+result<T> wait(event_loop& loop, Start start) {
+  std::optional<result<T>> answer;
+  start([&](result<T> value) {
+    answer = std::move(value);
+    loop.stop();
+  });
+  while (!answer) loop.run_for(seconds{1});
+  return *std::move(answer);
+}
+
+/// A call to one admin listener.
+class admin_call {
+ public:
+  admin_call(event_loop& loop, const admin_request& request, std::function<void()> done)
+      : connection_(loop), done_(std::move(done)) {
+    const auto address = parse_address(request.address);
+    if (!address) {
+      loop.post([this, problem = address.error()] { finish(tl::unexpected{problem}); });
+      return;
+    }
+    connection_.open(*address, admin_timeout, [this, request](const result<void>& opened) {
+      if (!opened) {
+        finish(tl::unexpected{opened.error()});
+        return;
+      }
+      http_request message{.method = request.method, .target = request.target};
+      message.headers.add("Host", request.address);
+      connection_.send(message, admin_timeout, [this](const result<http_response>& answer) { take(answer); });
+    });
+  }
+
+  [[nodiscard]] const std::optional<result<std::string>>& answer() const noexcept { return answer_; }
+
+ private:
+  void take(const result<http_response>& answer) {
+    if (!answer) {
+      finish(tl::unexpected{answer.error()});
+    } else if (answer->status != 200) {
+      finish(make_error(error_kind::protocol_error, fmt::format("the answer has status {}", answer->status)));
+    } else {
+      finish(answer->body);
+    }
+  }
+
+  void finish(result<std::string> answer) {
+    answer_ = std::move(answer);
+    done_();
+  }
+
+  http_connection connection_;
+  std::function<void()> done_;
+  std::optional<result<std::string>> answer_;
+};
+
+}  // namespace
+
+platform_session::platform_session(event_loop& loop, const net_address& platform)
+    : loop_(loop), client_(loop, platform, session_options()) {}
+
+result<platform_object> platform_session::get(std::string_view path) {
+  return wait<platform_object>(loop_, [&](auto done) { client_.get(path, done); });
+}
+
+result<object_version> platform_session::put(std::string_view path, std::string_view value,
+                                             std::optional<object_version> if_version) {
+  return wait<object_version>(loop_, [&](auto done) { client_.put(path, value, if_version, done); });
+}
+
+result<std::vector<platform_object>> platform_session::list(std::string_view prefix) {
+  return wait<std::vector<platform_object>>(loop_, [&](auto done) { client_.list(prefix, done); });
+}
+
+std::vector<result<std::string>> call_all(event_loop& loop, const std::vector<admin_request>& requests) {
+  auto waiting = requests.size();
+  std::deque<admin_call> calls;
+  for (const auto& it : requests) {
+    calls.emplace_back(loop, it, [&] {
+      if (--waiting == 0) loop.stop();
+    });
+  }
+  while (waiting > 0) loop.run_for(seconds{1});
+  std::vector<result<std::string>> answers;
+  answers.reserve(calls.size());
+  for (const auto& it : calls) answers.push_back(*it.answer());
+  return answers;
+}
+
+}  // namespace bulrushlift
