Read the daemon's status format and rename the platform client

Cause: the daemon package has a class platform_client of its own, which the linker cannot tell from that of net; its admin status has services and budgets as objects. Conclusion: status shows use against rates once the daemon reports them.

--- a/packages/cli/commands_test.cc
+++ b/packages/cli/commands_test.cc
@@ -155,13 +155,17 @@
 TEST_CASE("status and drain reach the admin listeners") {
   cli_fixture it;
   std::vector<std::string> seen;
-  http_server admin{
-      it.loop, {}, [&](const http_request& request, const http_responder& respond) {
-        seen.push_back(request.method + " " + request.target);
-        respond(json_response(200, R"({"vm": "entry-1", "data_centre": "thies", "drain": "running",
-                        "freshness": "fresh", "generation": 3, "services": [{"service": "orders",
-                        "primary": "orders-1", "term": 4, "position": 17}]})"));
-      }};
+  http_server admin{it.loop, {}, [&](const http_request& request, const http_responder& respond) {
+                      seen.push_back(request.method + " " + request.target);
+                      respond(json_response(request.method == "GET" ? 200 : 202, R"({"vm": "entry-1",
+          "data_centre": "thies", "drain": "running", "freshness": "fresh", "generation": 3,
+          "services": {"orders": {"owner": true, "owner_vm": "entry-1", "primary": "orders-1", "term": 4,
+            "promotion": "idle", "queued": 2, "targets": [
+              {"target": "orders-2", "point": {"term": 4, "position": 16}},
+              {"target": "orders-1", "point": {"term": 4, "position": 17}}]},
+            "stock": {"owner_vm": "entry-2"}},
+          "budgets": {"baobab": {"level": 12.5, "waiting": 0}}})"));
+                    }};
   const auto bound = admin.listen({"127.0.0.1", 0}).value();
   const auto put = [&](const std::string& vm, const std::string& where) {
     const nlohmann::json value = nlohmann::json{{"vm", vm}, {"admin", where}}.dump();
@@ -177,10 +181,18 @@
             bound.str() +
             "  running      fresh      3\n"
             "entry-2  -            127.0.0.1:1      unreachable  -          -\n"
-            "\nSERVICE  OWNER    PRIMARY   TERM  POSITION\n"
-            "orders   entry-1  orders-1  4     17\n");
+            "\nSERVICE  OWNER    PRIMARY   TERM  POSITION  PROMOTION  QUEUED\n"
+            "orders   entry-1  orders-1  4     17        idle       2\n"
+            "\nCUSTOMER  VM       RATE_PER_SECOND  USED_PER_SECOND  LEVEL  WAITING\n"
+            "baobab    entry-1  -                -                12.5   0\n");
   CHECK(it.run({"drain", "entry-1"}) == 0);
-  CHECK(seen == std::vector<std::string>{"GET /v1/status", "POST /v1/drain"});
+  CHECK(seen == std::vector<std::string>{"GET /v1/status", "GET /v1/status", "POST /v1/drain"});
+  put("entry-3", bound.str());
+  CHECK(it.run({"drain", "entry-3"}) == 5);
+  it.platform.model().set_faults({.down = true});
+  CHECK(it.run({"drain", "entry-1", "--admin", bound.str()}) == 0);
+  CHECK(seen.size() == 6);
+  it.platform.model().set_faults({});
   CHECK(it.run({"drain", "entry-2"}) == 6);
   CHECK(it.run({"drain", "entry-9"}) == 5);
 }
--- a/packages/cli/fleet_commands.cc
+++ b/packages/cli/fleet_commands.cc
@@ -8,11 +8,9 @@
 #include "cli/platform_session.h"
 
 /// @file
-/// `status` and `drain`. A daemon writes its admin address into the status object `status/vms/<vm>`:
-/// `{"vm", "data_centre", "admin"}`. `GET /v1/status` of the admin listener answers
-/// `{"vm", "data_centre", "drain", "freshness", "generation", "services": [{"service", "primary",
-/// "term", "position"}], "customers": [{"customer", "rate_per_second", "used_per_second"}]}`, where
-/// `services` are those that the VM owns. Fields that are absent are shown as "-".
+/// `status` and `drain`. They find the admin listeners in the status objects `status/vms/<vm>`, which are
+/// `{"vm", "admin"}`, or in `--admin` options, which also serve while the platform is down. What a VM knows
+/// is the answer to `GET /v1/status` of its admin listener. Fields that are absent are shown as "-".
 
 namespace bulrushlift {
 namespace {
@@ -34,14 +32,19 @@
   return it->is_string() ? it->get<std::string>() : it->dump();
 }
 
-/// @return the items of a list field; none if it is absent.
-std::vector<json> items(const json& object, const char* name) {
-  if (!object.is_object()) return {};
+/// @return the object in a field; an empty one if it is absent.
+json object_in(const json& object, const char* name) {
+  if (!object.is_object()) return json::object();
   const auto it = object.find(name);
-  return it != object.end() && it->is_array() ? it->get<std::vector<json>>() : std::vector<json>{};
+  return it != object.end() && it->is_object() ? *it : json::object();
 }
 
-result<std::vector<vm_report>> read_vms(const command_context& context) {
+result<std::vector<vm_report>> find_vms(const command_context& context) {
+  if (!context.options.admins.empty()) {
+    std::vector<vm_report> reports;
+    for (const auto& it : context.options.admins) reports.push_back({"-", it});
+    return reports;
+  }
   const auto address = platform_of(context.options);
   if (!address) return tl::unexpected{address.error()};
   platform_session platform{context.loop, *address};
@@ -67,6 +70,7 @@
     }
     auto value = json::parse(*answers[i], nullptr, false);
     if (value.is_object()) {
+      reports[i].name = field(value, "vm");
       reports[i].status = std::move(value);
     } else {
       reports[i].status = make_error(error_kind::protocol_error, "the status is no JSON object");
@@ -88,10 +92,38 @@
   context.out << out.dump() << '\n';
 }
 
+/// @return the log position of the primary as its owner knows it.
+std::string primary_position(const json& service) {
+  const auto primary = field(service, "primary");
+  const auto targets = service.find("targets");
+  if (targets == service.end() || !targets->is_array()) return "-";
+  for (const auto& it : *targets) {
+    if (field(it, "target") == primary) return field(object_in(it, "point"), "position");
+  }
+  return "-";
+}
+
+void add_services(const json& status, table_rows& rows) {
+  const auto services = object_in(status, "services");
+  for (const auto& [name, service] : services.items()) {
+    if (field(service, "owner") != "true") continue;
+    rows.push_back({name, field(status, "vm"), field(service, "primary"), field(service, "term"),
+                    primary_position(service), field(service, "promotion"), field(service, "queued")});
+  }
+}
+
+void add_budgets(const json& status, table_rows& rows) {
+  const auto budgets = object_in(status, "budgets");
+  for (const auto& [name, budget] : budgets.items()) {
+    rows.push_back({name, field(status, "vm"), field(budget, "rate_per_second"),
+                    field(budget, "used_per_second"), field(budget, "level"), field(budget, "waiting")});
+  }
+}
+
 void write_tables(command_context& context, const std::vector<vm_report>& reports) {
   table_rows vms{{"VM", "DATA_CENTRE", "ADMIN", "DRAIN", "FRESHNESS", "GENERATION"}};
-  table_rows services{{"SERVICE", "OWNER", "PRIMARY", "TERM", "POSITION"}};
-  table_rows customers{{"CUSTOMER", "VM", "RATE_PER_SECOND", "USED_PER_SECOND"}};
+  table_rows services{{"SERVICE", "OWNER", "PRIMARY", "TERM", "POSITION", "PROMOTION", "QUEUED"}};
+  table_rows budgets{{"CUSTOMER", "VM", "RATE_PER_SECOND", "USED_PER_SECOND", "LEVEL", "WAITING"}};
   for (const auto& it : reports) {
     if (!it.status) {
       vms.push_back({it.name, "-", it.admin, "unreachable", "-", "-"});
@@ -100,25 +132,20 @@
     const auto& status = *it.status;
     vms.push_back({it.name, field(status, "data_centre"), it.admin, field(status, "drain"),
                    field(status, "freshness"), field(status, "generation")});
-    for (const auto& service : items(status, "services")) {
-      services.push_back({field(service, "service"), it.name, field(service, "primary"),
-                          field(service, "term"), field(service, "position")});
-    }
-    for (const auto& customer : items(status, "customers")) {
-      customers.push_back({field(customer, "customer"), it.name, field(customer, "rate_per_second"),
-                           field(customer, "used_per_second")});
-    }
+    add_services(status, services);
+    add_budgets(status, budgets);
   }
   write_table(context.out, vms);
-  for (const auto* rows : {&services, &customers}) {
+  for (auto* rows : {&services, &budgets}) {
     if (rows->size() == 1) continue;
+    std::sort(rows->begin() + 1, rows->end());
     context.out << '\n';
     write_table(context.out, *rows);
   }
 }
 
 command_result run_status(command_context& context) {
-  auto reports = read_vms(context);
+  auto reports = find_vms(context);
   if (!reports) return tl::unexpected{reports.error()};
   if (!reports->empty()) read_statuses(context, *reports);
   if (context.options.json) {
@@ -130,13 +157,20 @@
 }
 
 command_result run_drain(command_context& context) {
-  const auto reports = read_vms(context);
+  auto reports = find_vms(context);
   if (!reports) return tl::unexpected{reports.error()};
   const auto& name = context.operands[0];
+  if (context.options.admins.empty())
+    std::erase_if(*reports, [&](const vm_report& it) { return it.name != name; });
+  if (!reports->empty()) read_statuses(context, *reports);
+  // A status object can be older than the process that has its address now, so the VM itself states its name.
   const auto it = std::find_if(reports->begin(), reports->end(),
-                               [&name](const vm_report& vm) { return vm.name == name; });
+                               [&](const vm_report& vm) { return vm.status && vm.name == name; });
   if (it == reports->end()) {
-    return make_error(error_kind::not_found, fmt::format("no VM {} has written a status object", name));
+    const auto failed =
+        std::find_if(reports->begin(), reports->end(), [](const vm_report& vm) { return !vm.status; });
+    if (failed != reports->end()) return tl::unexpected{failed->status.error()};
+    return make_error(error_kind::not_found, fmt::format("there is no VM {}", name));
   }
   const auto answers = call_all(context.loop, {{it->admin, "POST", "/v1/drain"}});
   if (!answers[0]) return tl::unexpected{answers[0].error()};
@@ -148,10 +182,11 @@
 
 std::vector<command> fleet_commands() {
   return {
-      {"status", "status [--json]", "Show the VMs, owners, primaries, and use against rates",
-       "status --platform 127.0.0.1:7000", 0, 0, run_status},
-      {"drain", "drain VM", "Let a VM finish its work and exit", "drain entry-1 --platform 127.0.0.1:7000", 1,
-       1, run_drain},
+      {"status", "status [--admin ADDRESS]... [--json]",
+       "Show the VMs, owners, primaries, and use against rates", "status --platform 127.0.0.1:7000", 0, 0,
+       run_status},
+      {"drain", "drain VM [--admin ADDRESS]", "Let a VM finish its work and exit",
+       "drain entry-1 --platform 127.0.0.1:7000", 1, 1, run_drain},
   };
 }
 
--- a/packages/cli/options.cc
+++ b/packages/cli/options.cc
@@ -9,13 +9,19 @@
 namespace bulrushlift {
 namespace {
 
-const option long_options[] = {
-    {"platform", required_argument, nullptr, 'p'}, {"environment", required_argument, nullptr, 'e'},
-    {"json", no_argument, nullptr, 'j'},           {"help", no_argument, nullptr, 'h'},
-    {"version", no_argument, nullptr, 'v'},        {"digest", required_argument, nullptr, 'd'},
-    {"id", required_argument, nullptr, 'i'},       {"rate", required_argument, nullptr, 'r'},
-    {"burst", required_argument, nullptr, 'b'},    {"weight", required_argument, nullptr, 'w'},
-    {"route", required_argument, nullptr, 'o'},    {nullptr, 0, nullptr, 0}};
+const option long_options[] = {{"platform", required_argument, nullptr, 'p'},
+                               {"environment", required_argument, nullptr, 'e'},
+                               {"json", no_argument, nullptr, 'j'},
+                               {"help", no_argument, nullptr, 'h'},
+                               {"version", no_argument, nullptr, 'v'},
+                               {"digest", required_argument, nullptr, 'd'},
+                               {"id", required_argument, nullptr, 'i'},
+                               {"rate", required_argument, nullptr, 'r'},
+                               {"burst", required_argument, nullptr, 'b'},
+                               {"weight", required_argument, nullptr, 'w'},
+                               {"route", required_argument, nullptr, 'o'},
+                               {"admin", required_argument, nullptr, 'a'},
+                               {nullptr, 0, nullptr, 0}};
 
 std::string variable(const char* name) {
   const char* value = std::getenv(name);  // NOLINT(concurrency-mt-unsafe): one thread
@@ -57,6 +63,9 @@
     case 'o':
       options.routes.push_back(value);
       return true;
+    case 'a':
+      options.admins.push_back(value);
+      return true;
     case 'r':
       return read_number(value, options.rate);
     case 'b':
--- a/packages/cli/platform_session.cc
+++ b/packages/cli/platform_session.cc
@@ -22,8 +22,8 @@
   return seed;
 }
 
-platform_client_options session_options() {
-  platform_client_options options;
+object_store_client_options session_options() {
+  object_store_client_options options;
   options.pacing = call_pacer::options{};
   options.seed = random_seed();
   return options;
@@ -68,7 +68,7 @@
   void take(const result<http_response>& answer) {
     if (!answer) {
       finish(tl::unexpected{answer.error()});
-    } else if (answer->status != 200) {
+    } else if (answer->status < 200 || answer->status > 299) {
       finish(make_error(error_kind::protocol_error, fmt::format("the answer has status {}", answer->status)));
     } else {
       finish(answer->body);
--- a/packages/cli/platform_session.h
+++ b/packages/cli/platform_session.h
@@ -8,7 +8,7 @@
 #include "base/error.h"
 #include "net/event_loop.h"
 #include "net/http_message.h"
-#include "net/platform_client.h"
+#include "net/object_store_client.h"
 
 /// @file
 /// Blocking calls for the commands; each runs the event loop until its answer.
@@ -26,7 +26,7 @@
 
  private:
   event_loop& loop_;
-  platform_client client_;
+  object_store_client client_;
 };
 
 /// One request to one of several addresses.
--- a/packages/net/platform_client.cc
+++ b/packages/net/object_store_client.cc
@@ -1,4 +1,4 @@
-#include "net/platform_client.h"
+#include "net/object_store_client.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -88,7 +88,7 @@
 }  // namespace
 
 /// A call with its own connection, so that an unresponsive one delays no other call.
-struct platform_client::call {
+struct object_store_client::call {
   call(event_loop& loop, http_request sent, duration allowed, answer_function callback)
       : request(std::move(sent)),
         timeout(allowed),
@@ -103,14 +103,15 @@
   scoped_timer timer;
 };
 
-platform_client::platform_client(event_loop& loop, net_address address, platform_client_options options)
+object_store_client::object_store_client(event_loop& loop, net_address address,
+                                         object_store_client_options options)
     : loop_(loop), address_(std::move(address)), options_(options) {
   if (options_.pacing) pacer_.emplace(*options_.pacing, options_.seed);
 }
 
-platform_client::~platform_client() = default;
+object_store_client::~object_store_client() = default;
 
-void platform_client::start(http_request request, duration timeout, answer_function done) {
+void object_store_client::start(http_request request, duration timeout, answer_function done) {
   request.headers.add("Host", address_.str());
   request.keep_alive = false;
   auto it = std::make_shared<call>(loop_, std::move(request), timeout, std::move(done));
@@ -118,7 +119,7 @@
   open(it);
 }
 
-void platform_client::open(const std::shared_ptr<call>& it) {
+void object_store_client::open(const std::shared_ptr<call>& it) {
   const auto now = loop_.now();
   // The callbacks belong to members of the call, so they end with it and need not own it.
   const std::weak_ptr<call> weak = it;
@@ -145,7 +146,7 @@
   });
 }
 
-void platform_client::finish(const std::shared_ptr<call>& it, result<http_response> answer) {
+void object_store_client::finish(const std::shared_ptr<call>& it, result<http_response> answer) {
   if (pacer_) {
     if (answer && answer->status < 500) {
       pacer_->succeeded();
@@ -159,7 +160,7 @@
   done(std::move(answer));
 }
 
-void platform_client::get(std::string_view path, callback<platform_object> done) {
+void object_store_client::get(std::string_view path, callback<platform_object> done) {
   start({.target = object_target(path)}, options_.answer_timeout,
         [done = std::move(done)](const result<http_response>& answer) {
           const auto body = body_of(answer);
@@ -167,8 +168,8 @@
         });
 }
 
-void platform_client::watch(std::string_view path, object_version after, std::chrono::milliseconds wait,
-                            callback<std::optional<platform_object>> done) {
+void object_store_client::watch(std::string_view path, object_version after, std::chrono::milliseconds wait,
+                                callback<std::optional<platform_object>> done) {
   auto target = object_target(path) + "?watch_after=" + std::to_string(after.value()) +
                 "&timeout_ms=" + std::to_string(wait.count());
   start({.target = std::move(target)}, options_.answer_timeout + wait,
@@ -186,8 +187,8 @@
         });
 }
 
-void platform_client::put(std::string_view path, std::string_view value,
-                          std::optional<object_version> if_version, callback<object_version> done) {
+void object_store_client::put(std::string_view path, std::string_view value,
+                              std::optional<object_version> if_version, callback<object_version> done) {
   json body{{"value", value}};
   if (if_version) body["if_version"] = if_version->value();
   start({.method = "PUT",
@@ -199,12 +200,12 @@
         });
 }
 
-void platform_client::list(std::string_view prefix, callback<std::vector<platform_object>> done) {
+void object_store_client::list(std::string_view prefix, callback<std::vector<platform_object>> done) {
   start({.target = "/v1/list/" + std::string{prefix}}, options_.answer_timeout,
         [done = std::move(done)](const result<http_response>& answer) { done(objects_of(answer)); });
 }
 
-void platform_client::list_vms(callback<std::vector<platform_list_entry>> done) {
+void object_store_client::list_vms(callback<std::vector<platform_list_entry>> done) {
   start({.target = "/v1/vms"}, options_.answer_timeout,
         [done = std::move(done)](const result<http_response>& answer) { done(vms_of(answer)); });
 }
--- a/packages/net/platform_client.h
+++ b/packages/net/object_store_client.h
@@ -20,7 +20,7 @@
 /// @file
 /// Typed client of the platform's object API (design 4.3).
 ///
-///     platform_client platform{loop, address, {}};
+///     object_store_client platform{loop, address, {}};
 ///     platform.get("environments/teranga/production", [](result<platform_object> found) {});
 ///
 /// Errors: `not_found`; `conflict` if the condition of an update is false;
@@ -47,7 +47,7 @@
   friend bool operator==(const platform_list_entry&, const platform_list_entry&) = default;
 };
 
-struct platform_client_options {
+struct object_store_client_options {
   duration connect_timeout = std::chrono::seconds{1};
   duration answer_timeout = std::chrono::seconds{3};
   /// Budget and back-off. Without it calls start at once, for callers that pace them themselves.
@@ -55,16 +55,16 @@
   std::uint64_t seed = 1;  ///< Of the jitter.
 };
 
-class platform_client {
+class object_store_client {
  public:
   template <class T>
   using callback = std::function<void(result<T>)>;
 
-  platform_client(event_loop& loop, net_address address, platform_client_options options);
-  platform_client(const platform_client&) = delete;
-  platform_client& operator=(const platform_client&) = delete;
+  object_store_client(event_loop& loop, net_address address, object_store_client_options options);
+  object_store_client(const object_store_client&) = delete;
+  object_store_client& operator=(const object_store_client&) = delete;
   /// Calls in flight are dropped without an answer.
-  ~platform_client();
+  ~object_store_client();
 
   void get(std::string_view path, callback<platform_object> done);
   /// Waits for a version above `after`; the result is empty if there was none within `wait`.
@@ -88,7 +88,7 @@
 
   event_loop& loop_;
   net_address address_;
-  platform_client_options options_;
+  object_store_client_options options_;
   std::optional<call_pacer> pacer_;
   std::list<std::shared_ptr<call>> calls_;
 };
--- a/packages/standins/platform_server_test.cc
+++ b/packages/standins/platform_server_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "net/platform_client.h"
+#include "net/object_store_client.h"
 
 namespace bulrushlift {
 namespace {
@@ -36,7 +36,7 @@
 
   event_loop loop;
   platform_server server;
-  platform_client client;
+  object_store_client client;
 };
 
 // Guards against a client and a stand-in that read the object API differently, and against text that changes
@@ -81,9 +81,9 @@
 // Guards against a client that repeats calls faster than its budget while the platform fails.
 TEST_CASE("paced calls wait for the budget and the back-off") {
   platform_fixture it;
-  platform_client_options options;
+  object_store_client_options options;
   options.pacing = call_pacer::options{100, 1, milliseconds{40}, milliseconds{40}};
-  platform_client paced{it.loop, it.client.address(), options};
+  object_store_client paced{it.loop, it.client.address(), options};
   it.server.model().set_faults({.down = true});
   const auto started = it.loop.now();
   for (int i = 0; i < 3; ++i) {
