--- a/packages/database/read_router.cc
+++ b/packages/database/read_router.cc
@@ -18,8 +18,7 @@
   return !it.is_primary && it.is_reachable && !it.is_leaving && it.is_consistent;
 }
 
-/// @return the time until the replica reaches the required point; 0 if it is expected to have reached
-///     it, nothing without an estimate.
+/// @return the estimated time until the replica reaches the required point; nothing without an estimate.
 std::optional<duration> expected_arrival(const read_requirements& read, const read_candidate& it) {
   if (!read.required_point || !is_usable_replica(it) || !is_age_satisfied(read, it.data_age))
     return std::nullopt;
@@ -52,8 +51,7 @@
 /// The replicas that can serve a read, by what is known of them.
 struct replica_choice {
   candidate_list eligible;
-  candidate_list expected;                  ///< Expected to have reached the point by now.
-  std::optional<duration> nearest_arrival;  ///< Of the others.
+  std::optional<duration> nearest_arrival;  ///< Of the others, by estimate.
 };
 
 replica_choice choose_replicas(const read_requirements& read, std::span<const read_candidate> candidates) {
@@ -66,7 +64,6 @@
     }
     const auto arrival = expected_arrival(read, it);
     if (!arrival) continue;
-    if (*arrival == duration{}) choice.expected.push_back(&it);
     if (!choice.nearest_arrival || *arrival < *choice.nearest_arrival) choice.nearest_arrival = arrival;
   }
   return choice;
@@ -111,11 +108,6 @@
   const auto choice = choose_replicas(read, candidates);
   const auto* best = best_of(choice.eligible, read.data_centre, random);
   if (best != nullptr && best->free_slots > 0) return run_read{best->target, true, "fresh replica"};
-  if (options.uses_expected_points) {
-    const auto* expected = best_of(choice.expected, read.data_centre, random);
-    if (expected != nullptr && expected->free_slots > 0)
-      return run_read{expected->target, true, "expected replica"};
-  }
   const auto* primary = find_primary(candidates);
   const bool is_primary_free = primary != nullptr && primary->free_slots > 0;
   const auto wait_end = std::min(read.deadline, read.first_routed + options.replica_wait);
--- a/packages/database/read_router.h
+++ b/packages/database/read_router.h
@@ -59,8 +59,6 @@
   duration replica_wait = std::chrono::milliseconds{5};
   /// Interval between two attempts while no member is known to satisfy the read.
   duration position_poll = std::chrono::milliseconds{5};
-  /// Send reads to replicas that are expected to have reached the point by now; the target verifies it.
-  bool uses_expected_points = true;
 };
 
 /// Run the read on this target, with the required point as `min_point`.
@@ -92,7 +90,6 @@
 
 /// Chooses an eligible replica with a free slot, in the own data centre first, then the least loaded;
 /// `random` breaks ties. Without one:
-/// - a replica that is expected to have reached the point by now, if the options allow it;
 /// - a wait within `replica_wait` if an eligible replica is busy, or if the primary has no free slot and a
 ///   replica is expected to reach the point in time;
 /// - the primary, whose log holds each acknowledged point;
--- a/packages/fleet/membership_controller.cc
+++ b/packages/fleet/membership_controller.cc
@@ -234,14 +234,10 @@
 
 bool membership_controller::is_pinged(const peer& it) noexcept { return it.info.state != member_state::dead; }
 
-duration membership_controller::current_period() const noexcept {
-  return live_count() <= options_.small_fleet ? options_.small_period : options_.period;
-}
-
 duration membership_controller::suspicion_time() const noexcept {
   const auto n = live_count();
-  if (n <= options_.small_fleet) return options_.suspicion_periods * options_.small_period;
-  return std::max(options_.suspicion_periods, log2_ceil(n)) * options_.period;
+  const auto periods = n <= options_.small_fleet ? 0 : log2_ceil(n);
+  return std::max(options_.suspicion_periods, periods) * options_.period;
 }
 
 std::uint32_t membership_controller::transmission_limit() const noexcept {
--- a/packages/fleet/membership_controller.h
+++ b/packages/fleet/membership_controller.h
@@ -74,15 +74,16 @@
 struct membership_options {
   /// Fleets of at most this size ping all peers in each period.
   std::size_t small_fleet = 8;
-  duration small_period = std::chrono::milliseconds{200};
-  duration period = std::chrono::milliseconds{500};
+  duration period = std::chrono::milliseconds{200};
   /// Peers that are asked for an indirect ping.
   std::size_t indirect_pings = 2;
   std::size_t updates_per_datagram = 8;
   /// Bytes of updates in a datagram; the rest of 1,400 is for the other fields.
   std::size_t update_bytes = 1'200;
   /// Known entries added to each datagram beside the news, so that views agree after losses.
-  std::size_t refreshed_entries = 2;
+  std::size_t refreshed_entries = 4;
+  /// Seeds without contact that are pinged in each period, beside the next member.
+  std::size_t contacted_seeds = 3;
   /// Periods between suspicion and death, at least; grows with the logarithm of the fleet's size.
   std::uint32_t suspicion_periods = 3;
   /// Periods between two pings to dead members, by which the halves of a healed partition meet.
@@ -183,6 +184,7 @@
                     membership_actions& actions);
   void start_period(time_point now, random_engine& random, membership_actions& actions);
   void ping_next(time_point now, random_engine& random, membership_actions& actions);
+  void ping_seeds(time_point now, random_engine& random, membership_actions& actions);
   void ping_dead(time_point now, random_engine& random, membership_actions& actions);
   void ping_namesake(membership_actions& actions);
   void ping(peer& target, time_point now, membership_actions& actions);
@@ -194,9 +196,11 @@
   [[nodiscard]] membership_message make_message(membership_message_kind kind, std::uint64_t id,
                                                 const vm_id& subject, std::vector<member> updates) const;
   [[nodiscard]] std::vector<member> choose_updates(const vm_id& to, bool always_about_receiver);
+  /// Up to `count` random members with `property`.
+  [[nodiscard]] std::vector<peer*> sample(std::size_t count, random_engine& random,
+                                          bool (*property)(const peer&));
   [[nodiscard]] static bool is_pinged(const peer& it) noexcept;
   [[nodiscard]] std::size_t live_count() const noexcept;
-  [[nodiscard]] duration current_period() const noexcept;
   [[nodiscard]] duration suspicion_time() const noexcept;
   [[nodiscard]] std::uint32_t transmission_limit() const noexcept;
 
--- a/packages/fleet/membership_simulator_fake.h
+++ b/packages/fleet/membership_simulator_fake.h
@@ -59,7 +59,7 @@
     (void)controller->set_seeds(known, now());
     instances_.push_back({self, std::move(controller), true, false, {}});
     by_address_[address] = index;
-    at(now() + random_duration(duration{}, options_.small_period), [this, index] { tick(index); });
+    at(now() + random_duration(duration{}, options_.period), [this, index] { tick(index); });
     return index;
   }
 
@@ -68,6 +68,7 @@
     std::map<vm_id, member_seed> seeds;
     for (const auto& it : instances_) seeds[it.self.vm] = {it.self.vm, it.self.address, it.self.data_centre};
     std::vector<member_seed> all;
+    all.reserve(seeds.size());
     for (const auto& [vm, seed] : seeds) all.push_back(seed);
     for (auto& it : instances_) (void)it.controller->set_seeds(all, now());
   }
--- a/packages/fleet/membership_timers.cc
+++ b/packages/fleet/membership_timers.cc
@@ -22,7 +22,7 @@
   membership_actions actions;
   if (stopped_ || now < next_timer_) return actions;
   random_engine engine{static_cast<random_engine::result_type>(random)};
-  const auto half_period = current_period() / 2;
+  const auto half_period = options_.period / 2;
   const bool is_first = next_timer_ == time_point{};
   // After a pause of this process the missing acks say nothing about the peers.
   if (!is_first && now - next_timer_ > half_period) absorb_pause(now - next_timer_);
@@ -47,8 +47,7 @@
 
 void membership_controller::start_period(time_point now, random_engine& random, membership_actions& actions) {
   ++periods_;
-  std::erase_if(forwarded_,
-                [&](const auto& entry) { return now - entry.second.sent > 2 * current_period(); });
+  std::erase_if(forwarded_, [&](const auto& entry) { return now - entry.second.sent > 2 * options_.period; });
   forget_old(now);
   if (live_count() <= options_.small_fleet) {
     for (auto& [vm, it] : peers_) {
@@ -56,6 +55,7 @@
     }
   } else {
     ping_next(now, random, actions);
+    ping_seeds(now, random, actions);
   }
   if (periods_ % options_.dead_ping_periods != 0) return;
   ping_dead(now, random, actions);
@@ -79,14 +79,26 @@
   }
 }
 
-void membership_controller::ping_dead(time_point now, random_engine& random, membership_actions& actions) {
-  std::vector<peer*> dead;
+std::vector<membership_controller::peer*> membership_controller::sample(std::size_t count,
+                                                                        random_engine& random,
+                                                                        bool (*property)(const peer&)) {
+  std::vector<peer*> all;
   for (auto& [vm, it] : peers_) {
-    if (it.info.state == member_state::dead) dead.push_back(&it);
+    if (property(it)) all.push_back(&it);
   }
-  if (dead.empty()) return;
-  std::uniform_int_distribution<std::size_t> index{0, dead.size() - 1};
-  ping(*dead[index(random)], now, actions);
+  std::vector<peer*> chosen;
+  std::ranges::sample(all, std::back_inserter(chosen), static_cast<std::ptrdiff_t>(count), random);
+  return chosen;
+}
+
+void membership_controller::ping_seeds(time_point now, random_engine& random, membership_actions& actions) {
+  const auto is_new = [](const peer& it) { return !it.is_contacted; };
+  for (auto* it : sample(options_.contacted_seeds, random, is_new)) ping(*it, now, actions);
+}
+
+void membership_controller::ping_dead(time_point now, random_engine& random, membership_actions& actions) {
+  const auto is_dead = [](const peer& it) { return it.info.state == member_state::dead; };
+  for (auto* it : sample(1, random, is_dead)) ping(*it, now, actions);
 }
 
 void membership_controller::ping_namesake(membership_actions& actions) {
@@ -109,15 +121,14 @@
     const auto target = peers_.find(waiting.target);
     if (target == peers_.end() || !target->second.is_contacted) continue;
     if (!is_serving(target->second.info.state)) continue;
-    std::vector<const peer*> helpers;
-    for (const auto& [vm, it] : peers_) {
-      if (vm != waiting.target && it.is_contacted && it.info.state == member_state::alive)
-        helpers.push_back(&it);
-    }
-    std::vector<const peer*> chosen;
-    std::ranges::sample(helpers, std::back_inserter(chosen),
-                        static_cast<std::ptrdiff_t>(options_.indirect_pings), random);
-    for (const auto* helper : chosen) {
+    const auto is_helper = [](const peer& it) {
+      return it.is_contacted && it.info.state == member_state::alive;
+    };
+    // One more than needed, since the target itself may be among them.
+    auto helpers = sample(options_.indirect_pings + 1, random, is_helper);
+    std::erase_if(helpers, [&vm = waiting.target](const peer* it) { return it->info.vm == vm; });
+    if (helpers.size() > options_.indirect_pings) helpers.pop_back();
+    for (const auto* helper : helpers) {
       auto updates = choose_updates(helper->info.vm, false);
       actions.emplace_back(send_membership{
           helper->info.address,
