--- a/packages/database/group_controller_test.cc
+++ b/packages/database/group_controller_test.cc
@@ -17,7 +17,8 @@
 
 void finish_clean(group_world& world) {
   world.finish();
-  CHECK(world.oracle().violations() == std::vector<std::string>{});
+  INFO(world.oracle().summary());
+  CHECK(world.oracle().violations().empty());
 }
 
 TEST_CASE("a healthy group acknowledges writes and yields fresh reads") {
--- a/packages/database/group_mutation_test.cc
+++ b/packages/database/group_mutation_test.cc
@@ -50,7 +50,7 @@
   return options;
 }
 
-TEST_CASE("no rule broken") { CHECK(find_violations({}) == std::vector<std::string>{}); }
+TEST_CASE("no rule broken") { CHECK(find_violations({}).empty()); }
 TEST_CASE("broken rule: no fencing") {
   CHECK_FALSE(find_violations(with_rule(broken_group_rule::no_fencing)).empty());
 }
--- a/packages/database/group_oracle_fake.cc
+++ b/packages/database/group_oracle_fake.cc
@@ -28,6 +28,8 @@
 
 }  // namespace
 
+std::string group_oracle::summary() const { return fmt::format("{}", fmt::join(violations_, "; ")); }
+
 void group_oracle::report(std::string violation) { violations_.push_back(std::move(violation)); }
 
 void group_oracle::acknowledge(operation& op, const log_point& point, time_point now) {
--- a/packages/database/group_oracle_fake.h
+++ b/packages/database/group_oracle_fake.h
@@ -29,6 +29,8 @@
   std::size_t session = 0;
   state status = state::unsent;
   log_point point;
+  bool is_at_once = false;  ///< The caller is answered without waiting for a second member.
+  time_point sent_at{};
   time_point acknowledged_at{};
 };
 
@@ -53,6 +55,8 @@
   void report(std::string violation);
 
   [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
+  /// @return all violations in one text, for the messages of tests.
+  [[nodiscard]] std::string summary() const;
   [[nodiscard]] std::size_t acknowledged() const noexcept { return acknowledged_.size(); }
   [[nodiscard]] std::size_t reads() const noexcept { return reads_.size(); }
   /// @return acknowledgements of writes that a later primary doesn't have.
