--- a/packages/database/group_callers_fake.cc
+++ b/packages/database/group_callers_fake.cc
@@ -43,6 +43,7 @@
 
 std::shared_ptr<bool> group_world::start_attempt(std::size_t controller, operation& op) {
   op.status = status::waiting;
+  if (op.sent_at == time_point{}) op.sent_at = network_.now();
   proxies_[controller]->open_operations.insert(op.name);
   feed(controller, write_sent{request_id{op.name}});
   auto is_open = std::make_shared<bool>(true);
@@ -91,6 +92,12 @@
       return;
     }
     const auto point = answer ? answer->point : answer.error().point;
+    const bool is_at_once = answer && operations_.at(name).is_at_once;
+    if (is_at_once && gate_.may_answer_at_once(controller)) {
+      // A pause may lie between the check and the answer.
+      network_.run_on(controller, [=, this] { end_attempt(controller, name, status::acknowledged, point); });
+      return;
+    }
     await_point(controller, target, point, [=, this](bool is_acknowledged) {
       if (is_acknowledged && is_cancelled) operations_.at(name).had_unknown = false;
       const auto end = is_cancelled ? status::not_run : status::acknowledged;
@@ -108,12 +115,13 @@
   call(controller, primary->target, serve, refuse, false);
 }
 
-std::string group_world::write(std::size_t controller, std::size_t session, bool has_key) {
+std::string group_world::write(std::size_t controller, std::size_t session, bool has_key, bool is_at_once) {
   if (primary_of(controller) == nullptr) return {};
   auto name = "op-" + std::to_string(++last_name_);
   auto& op = operations_[name];
   op.name = name;
   op.has_key = has_key;
+  op.is_at_once = is_at_once;
   op.session = session;
   send_write(controller, op);
   return name;
--- a/packages/database/group_world_fake.cc
+++ b/packages/database/group_world_fake.cc
@@ -110,9 +110,12 @@
     // The hook may pause the node between two actions.
     network_.run_on(controller, [=, this] {
       if (hook_) hook_(controller, action);
-      network_.run_on(controller, [=, this] {
+      const auto work = [=, this] {
         std::visit([&](const auto& item) { perform(controller, item); }, action);
-      });
+      };
+      const auto delay = gate_.delay_of ? gate_.delay_of(controller, action) : duration{};
+      if (delay > duration{}) return network_.after(controller, delay, work);
+      network_.run_on(controller, work);
     });
   }
 }
--- a/packages/database/group_world_fake.h
+++ b/packages/database/group_world_fake.h
@@ -36,6 +36,14 @@
 /// Called before an action is carried out; may inject a fault.
 using action_hook = std::function<void(std::size_t controller, const group_action& action)>;
 
+/// Another rule of acknowledgement, for comparisons.
+struct acknowledgement_gate {
+  /// @return whether the proxy may answer at once, without a second member.
+  std::function<bool(std::size_t controller)> may_answer_at_once;
+  /// @return how long the action has to wait before it is carried out.
+  std::function<duration(std::size_t controller, const group_action& action)> delay_of;
+};
+
 class group_world {
  public:
   explicit group_world(world_options options);
@@ -53,6 +61,7 @@
   [[nodiscard]] std::optional<std::size_t> primary_index() const;
 
   void set_hook(action_hook hook) { hook_ = std::move(hook); }
+  void set_gate(acknowledgement_gate gate) { gate_ = std::move(gate); }
   void advance(duration step) { network_.advance(step); }
 
   void set_owner(std::size_t controller, bool is_owner);
@@ -62,7 +71,7 @@
 
   /// Sends a new write if the controller knows a primary.
   /// @return its name, or an empty string if it was not sent.
-  std::string write(std::size_t controller, std::size_t session, bool has_key);
+  std::string write(std::size_t controller, std::size_t session, bool has_key, bool is_at_once = false);
   /// Repeats a write of unknown outcome that has an idempotency key.
   void repeat(std::size_t controller, operation& op);
   /// Resolves a write of unknown outcome that has an idempotency key.
@@ -146,6 +155,7 @@
   std::map<std::string, operation> operations_;
   std::mt19937_64 random_;
   action_hook hook_;
+  acknowledgement_gate gate_;
   std::uint64_t last_name_ = 0;
   std::uint64_t last_connection_ = 0;
 };
