Fuzz the configuration controller against one version history

Cause: monotone generations, freshness and the isolation rule were not exercised under faults. The first runs showed that a store that answers 1.6 s late made VMs stale although it worked: the age before an answer is that of two calls, 2 x (2 s + 1.6 s), above the limit of 5 s. Change: simulation of four VMs in two data centres with a store and network that delay, reorder, duplicate and lose; oracle of one version history; a mutant for each of three rules. The wait of a watch now shrinks by the measured delay of the store. All three mutants are noticed.

--- a/packages/fleet/configuration_controller.cc
+++ b/packages/fleet/configuration_controller.cc
@@ -14,9 +14,11 @@
 using std::chrono::seconds;
 
 constexpr std::size_t watchers_per_data_centre = 2;
-/// A watch that is this much later than its wait has stopped responding; the store is then read plainly.
+/// An answer that is this much later than expected has stopped responding; the store is then read plainly
+/// on another connection. A slow store gets up to `most_patience`.
 constexpr milliseconds watch_patience{500};
 constexpr milliseconds read_patience{1'000};
+constexpr milliseconds most_patience{2'000};
 constexpr milliseconds peer_patience{1'000};
 /// A slow store may answer late, and its document still counts. Later answers than this are dropped.
 constexpr seconds call_lifetime{30};
@@ -59,11 +61,13 @@
   return rendezvous_choose(data_centre.str(), candidates, watchers_per_data_centre);
 }
 
-configuration_controller::configuration_controller(const settings& configured, std::uint64_t seed)
+configuration_controller::configuration_controller(const settings& configured, std::uint64_t seed,
+                                                   configuration_mutation mutation)
     : self_(configured.vm),
       data_centre_(configured.data_centre),
       environment_(configured.environment),
       timing_(configured.timing),
+      mutation_(mutation),
       pacer_({configured.limits.platform_calls_per_second, configured.limits.platform_calls_burst,
               milliseconds{100}, configured.timing.platform_backoff},
              seed),
@@ -101,10 +105,21 @@
                      [](const auto& entry) { return !entry.second.overdue; });
 }
 
+milliseconds configuration_controller::watch_wait() const {
+  // Just before an answer the age is that of two calls, which must stay below the freshness limit; a tenth
+  // is left for the network.
+  const auto room = std::chrono::floor<milliseconds>(timing_.freshness_limit * 9 / 20 - store_overhead_);
+  return std::clamp(room, milliseconds{0}, timing_.watch_timeout);
+}
+
+duration configuration_controller::patience_of(const store_call& call) const {
+  const duration least = call.watch ? watch_patience : read_patience;
+  return call.wait + std::clamp<duration>(store_overhead_ * 2, least, most_patience);
+}
+
 void configuration_controller::give_up_calls(time_point now) {
   for (auto& [id, call] : store_calls_) {
-    const duration patience = call.watch ? timing_.watch_timeout + watch_patience : read_patience;
-    if (call.overdue || now - call.sent_at < patience) continue;
+    if (call.overdue || now - call.sent_at < patience_of(call)) continue;
     call.overdue = true;
     read_without_watch_ = true;
     // After a silent watch the plain read follows at once: the store may serve new connections.
@@ -122,12 +137,10 @@
   if (store_calls_.size() >= most_store_calls) store_calls_.erase(store_calls_.begin());
   const bool watch = store_version_.has_value() && !read_without_watch_;
   const auto call = next_call();
-  store_calls_.emplace(call, store_call{now, watch, false, document_.generation()});
-  read_store action{call, production_path(environment_), std::nullopt, milliseconds{0}};
-  if (watch) {
-    action.watch_after = store_version_;
-    action.wait = timing_.watch_timeout;
-  }
+  const auto wait = watch ? watch_wait() : milliseconds{0};
+  store_calls_.emplace(call, store_call{now, watch, wait, false, document_.generation()});
+  read_store action{call, production_path(environment_), std::nullopt, wait};
+  if (watch) action.watch_after = store_version_;
   actions.emplace_back(std::move(action));
 }
 
@@ -175,7 +188,11 @@
   configuration_actions actions;
   const auto entry = store_calls_.extract(call);
   if (entry.empty()) return actions;
-  const auto& sent = entry.mapped();
+  auto sent = entry.mapped();
+  const bool changed = sent.watch && std::holds_alternative<store_object>(answer);
+  // A watch that found a change ended early and says nothing about the store's speed.
+  if (!changed) store_overhead_ = std::max<duration>(now - sent.sent_at - sent.wait, duration{0});
+  if (mutation_.counts_age_from_answer) sent.sent_at = now;
   if (const auto* object = std::get_if<store_object>(&answer)) {
     take_store_object(now, sent, *object, actions);
   } else if (std::holds_alternative<store_unchanged>(answer) && sent.watch) {
@@ -218,7 +235,7 @@
 bool configuration_controller::accept(generation_id generation, std::string_view text,
                                       const std::string& source, std::optional<time_point> confirmed_at,
                                       configuration_actions& actions) {
-  if (generation <= document_.generation()) {
+  if (generation <= document_.generation() && !mutation_.accepts_lower_generation) {
     actions.emplace_back(reject_document{
         generation, source, {error_kind::conflict, "the generation is not above the one in force"}});
     return false;
@@ -361,7 +378,7 @@
   if (is_recent(now, confirmed_at_)) return freshness::fresh;
   const bool within_outage = confirmed_at_ && now - *confirmed_at_ < timing_.outage_limit;
   if (within_outage && is_store_down_for_majority(now)) return freshness::store_down;
-  return freshness::isolated;
+  return mutation_.serves_when_isolated ? freshness::store_down : freshness::isolated;
 }
 
 configuration_status configuration_controller::status_at(time_point now) const {
--- a/packages/fleet/configuration_controller.h
+++ b/packages/fleet/configuration_controller.h
@@ -133,12 +133,20 @@
 [[nodiscard]] std::vector<vm_id> choose_watchers(const data_centre_id& data_centre,
                                                  const std::vector<configuration_member>& members);
 
+/// Test only: rules that are left out, so that a fuzz can show that it notices.
+struct configuration_mutation {
+  bool accepts_lower_generation = false;
+  bool serves_when_isolated = false;
+  bool counts_age_from_answer = false;
+};
+
 /// Has no sockets and reads no clock. Every event returns the actions to perform, in order.
 class configuration_controller {
  public:
   /// @param configured names of this VM, its data centre and environment, timing and call budget.
   /// @param seed random bits; differs between processes.
-  configuration_controller(const settings& configured, std::uint64_t seed);
+  configuration_controller(const settings& configured, std::uint64_t seed,
+                           configuration_mutation mutation = {});
 
   /// Starts calls that are due and gives up calls without an answer. Call at least every 100 ms.
   [[nodiscard]] configuration_actions tick(time_point now);
@@ -184,6 +192,7 @@
   struct store_call {
     time_point sent_at;
     bool watch = false;
+    std::chrono::milliseconds wait{0};
     bool overdue = false;
     generation_id generation;  ///< In force when the call was sent.
   };
@@ -200,6 +209,8 @@
   void start_peer_calls(time_point now, configuration_actions& actions);
   void start_list(time_point now, configuration_actions& actions);
   void give_up_calls(time_point now);
+  [[nodiscard]] std::chrono::milliseconds watch_wait() const;
+  [[nodiscard]] duration patience_of(const store_call& call) const;
   [[nodiscard]] bool is_store_call_running() const;
   [[nodiscard]] std::vector<vm_id> peers_to_ask(time_point now) const;
   void ask(time_point now, const vm_id& peer, configuration_actions& actions);
@@ -224,6 +235,7 @@
   data_centre_id data_centre_;
   std::string environment_;
   timing_settings timing_;
+  configuration_mutation mutation_;
   call_pacer pacer_;
   std::minstd_rand random_;
 
@@ -241,6 +253,7 @@
   time_point next_list_{};
   time_point next_ask_{};
   bool read_without_watch_ = true;
+  duration store_overhead_{0};  ///< Time of the last answer beyond the wait that was asked for.
 
   std::map<target_id, time_point> listed_leaving_;  ///< When a list last named the target.
   std::vector<target_id> published_leaving_;
--- /dev/null
+++ b/packages/fleet/configuration_simulation_fake.h
@@ -0,0 +1,390 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "document/production_record.h"
+#include "fleet/configuration_controller.h"
+#include "standins/object_store_model.h"
+
+/// @file
+/// A fleet of configuration controllers with a store and a network that delays,
+/// reorders, duplicates and loses messages, and the oracle of one version history.
+
+namespace bulrushlift {
+
+class configuration_simulation {
+ public:
+  static constexpr std::size_t fleet_size = 4;
+
+  configuration_simulation(std::uint64_t seed, configuration_mutation mutation)
+      : mutation_(mutation), random_(static_cast<std::minstd_rand::result_type>(seed)) {
+    for (std::size_t i = 0; i < fleet_size; ++i) start_vm(i);
+    promote();
+  }
+
+  /// Lets the time pass. @return the first violation that the oracle saw so far, if any.
+  const std::optional<std::string>& run_for(duration span) {
+    for (const auto end = now_ + span; now_ < end && !violation_;) step();
+    return violation_;
+  }
+
+  void promote() {
+    // The operator's own access is not part of the simulation: a promotion that the store cannot take waits.
+    if (faults_.down || faults_.serve_old) return;
+    promoted_at_.push_back(now_);
+    const auto text = text_of(promoted_at_.size());
+    const production_record record{generation_id{promoted_at_.size()}, "p", document_digest(text), text};
+    deliver(store_.handle(now_, {.id = ++last_id_,
+                                 .call = store_call_kind::put,
+                                 .path = production_path("env"),
+                                 .value = nlohmann::json(format_record(record)).dump()}));
+  }
+
+  void restart(std::size_t vm) { start_vm(vm); }
+
+  void set_store(const store_faults& faults) {
+    faults_ = faults;
+    store_.set_faults(faults);
+    store_changed_ = now_;
+  }
+
+  void cut_store(std::size_t vm, bool is_cut) {
+    vms_[vm].store_cut = is_cut;
+    store_changed_ = now_;
+  }
+
+  void cut_link(std::size_t a, std::size_t b, bool is_cut) {
+    if (a == b) return;
+    link(a, b).is_cut = is_cut;
+    link(a, b).changed = now_;
+    links_changed_ = now_;
+  }
+
+  void heal() {
+    set_store({});
+    for (std::size_t a = 0; a < fleet_size; ++a) {
+      cut_store(a, false);
+      for (std::size_t b = 0; b < a; ++b) {
+        if (link(a, b).is_cut) cut_link(a, b, false);
+      }
+    }
+  }
+
+  /// Checks that a fleet without faults converges. @return a violation, if any.
+  std::optional<std::string> check_convergence() {
+    heal();
+    promote();
+    // The bound of dissemination, from the promotion or the end of the faults, whichever is later.
+    if (const auto& seen = run_for(std::chrono::seconds{7})) return seen;
+    for (const auto& it : vms_) {
+      if (it.controller->in_force().generation().value() != promoted_at_.size())
+        return "a VM has an old document";
+      if (it.controller->freshness_at(now_) != freshness::fresh) return "a VM is not fresh";
+    }
+    return std::nullopt;
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds step_length{20};
+  static constexpr std::chrono::milliseconds heartbeat{200};
+  /// The membership notices a lost or a returned peer within this time.
+  static constexpr std::chrono::milliseconds membership_lag{1'000};
+  /// Contact and freshness must last this long before the oracle expects a VM to know of it.
+  static constexpr std::chrono::milliseconds knowledge_lag{3'000};
+
+  struct vm_state {
+    std::unique_ptr<configuration_controller> controller;
+    std::uint64_t incarnation = 0;
+    generation_id highest;
+    bool store_cut = false;
+    std::vector<time_point> heard = std::vector<time_point>(fleet_size);  ///< Last ack of each peer.
+    std::optional<time_point> fresh_since;
+    std::optional<time_point> not_fresh_since;
+  };
+  struct link_state {
+    bool is_cut = false;
+    time_point changed{};
+  };
+  struct store_caller {
+    std::size_t vm = 0;
+    std::uint64_t incarnation = 0;
+    configuration_call call;
+    bool is_list = false;
+  };
+
+  static vm_id name(std::size_t vm) { return vm_id{fmt::format("vm-{}", vm)}; }
+  static data_centre_id data_centre(std::size_t vm) {
+    return data_centre_id{vm < fleet_size / 2 ? "a" : "b"};
+  }
+
+  /// The document of a generation: its customer's rate is the generation.
+  static std::string text_of(std::size_t generation) {
+    std::string vms;
+    for (std::size_t i = 0; i < fleet_size; ++i) {
+      vms += fmt::format(R"({}{{"name": "{}", "data_centre": "{}", "peer_address": "10.0.0.{}:1"}})",
+                         i == 0 ? "" : ", ", name(i).str(), data_centre(i).str(), i + 1);
+    }
+    return fmt::format(R"({{"environment": "env", "regions": [{{"name": "r", "data_centres": ["a", "b"]}}],
+      "vms": [{}], "services": [{{"name": "s", "targets": [
+        {{"name": "t1", "address": "10.0.1.1:1", "data_centre": "a", "slots": 1, "connections": 2}},
+        {{"name": "t2", "address": "10.0.1.2:1", "data_centre": "b", "slots": 1, "connections": 2}}]}}],
+      "customers": [{{"name": "c", "rate_per_second": {}, "burst": 1}}], "routes": []}})",
+                       vms, generation);
+  }
+
+  void start_vm(std::size_t index) {
+    settings configured;
+    configured.vm = name(index);
+    configured.data_centre = data_centre(index);
+    configured.environment = "env";
+    auto& it = vms_[index];
+    it.controller = std::make_unique<configuration_controller>(configured, random_(), mutation_);
+    ++it.incarnation;
+    it.highest = {};
+    it.fresh_since.reset();
+    it.heard.assign(fleet_size, time_point{});
+    restarted_ = now_;
+  }
+
+  link_state& link(std::size_t a, std::size_t b) {
+    return links_[std::min(a, b) * fleet_size + std::max(a, b)];
+  }
+  bool is_linked(std::size_t a, std::size_t b) { return a == b || !link(a, b).is_cut; }
+
+  duration delay() { return std::chrono::milliseconds{1 + random_() % 40}; }
+  bool chance(unsigned percent) { return random_() % 100 < percent; }
+
+  void later(duration after, std::function<void()> event) { events_.emplace(now_ + after, std::move(event)); }
+
+  /// Calls `event` on the controller after a delay, if the VM still runs; now and then twice.
+  void send(std::size_t vm, const std::function<void(configuration_controller&)>& event) {
+    const auto incarnation = vms_[vm].incarnation;
+    const int copies = chance(10) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      later(delay(), [this, vm, incarnation, event] {
+        if (vms_[vm].incarnation == incarnation) event(*vms_[vm].controller);
+      });
+    }
+  }
+
+  void step() {
+    now_ += step_length;
+    for (auto it = events_.begin(); it != events_.end() && it->first <= now_; it = events_.begin()) {
+      const auto event = std::move(it->second);
+      events_.erase(it);
+      event();
+    }
+    deliver(store_.advance(now_));
+    const auto count = (now_ - time_point{}) / step_length;
+    for (std::size_t vm = 0; vm < fleet_size; ++vm) {
+      if (count % (heartbeat / step_length) == 0) send_heartbeats(vm);
+      update_members(vm);
+      perform(vm, vms_[vm].controller->tick(now_));
+    }
+    check();
+  }
+
+  void update_members(std::size_t vm) {
+    std::vector<configuration_member> members;
+    for (std::size_t peer = 0; peer < fleet_size; ++peer) {
+      const bool alive = peer == vm || now_ - vms_[vm].heard[peer] < membership_lag;
+      members.push_back({name(peer), data_centre(peer), alive});
+    }
+    vms_[vm].controller->members_changed(std::move(members));
+  }
+
+  void send_heartbeats(std::size_t vm) {
+    for (std::size_t peer = 0; peer < fleet_size; ++peer) {
+      if (peer == vm || !is_linked(vm, peer)) continue;
+      const auto asked_at = now_;
+      const auto own = vms_[vm].controller->status_at(now_);
+      send(peer, [this, vm, peer, asked_at, own](configuration_controller& receiver) {
+        perform(peer, receiver.peer_reported(now_, name(vm), own, std::nullopt));
+        if (!is_linked(vm, peer)) return;
+        send(vm,
+             [this, vm, peer, asked_at, status = receiver.status_at(now_)](configuration_controller& asker) {
+               vms_[vm].heard[peer] = now_;
+               perform(vm, asker.peer_reported(now_, name(peer), status, asked_at));
+             });
+      });
+    }
+  }
+
+  void perform(std::size_t vm, const configuration_actions& actions) {
+    for (const auto& it : actions) {
+      if (const auto* read = std::get_if<read_store>(&it)) {
+        store_request request{.call = read->watch_after ? store_call_kind::watch : store_call_kind::get,
+                              .path = read->path,
+                              .watch_after = read->watch_after.value_or(object_version{}),
+                              .wait = read->wait};
+        call_store(vm, read->call, std::move(request));
+      } else if (const auto* list = std::get_if<list_vms>(&it)) {
+        call_store(vm, list->call, {.call = store_call_kind::vms});
+      } else if (const auto* ask = std::get_if<ask_peer>(&it)) {
+        call_peer(vm, *ask);
+      }
+    }
+  }
+
+  void call_store(std::size_t vm, configuration_call call, store_request request) {
+    request.id = ++last_id_;
+    const store_caller caller{vm, vms_[vm].incarnation, call, request.call == store_call_kind::vms};
+    if (vms_[vm].store_cut) {
+      // A cut connection is refused or silent.
+      if (chance(50)) fail_store_call(caller);
+      return;
+    }
+    callers_.emplace(request.id, caller);
+    later(delay(), [this, request] { deliver(store_.handle(now_, request)); });
+  }
+
+  void fail_store_call(const store_caller& it) {
+    send(it.vm, [this, call = it.call](configuration_controller& controller) {
+      controller.store_failed(now_, call);
+    });
+  }
+
+  void deliver(const std::vector<store_reply>& replies) {
+    for (const auto& reply : replies) {
+      const auto entry = callers_.extract(reply.id);
+      if (entry.empty()) continue;
+      const auto caller = entry.mapped();
+      if (vms_[caller.vm].incarnation != caller.incarnation || vms_[caller.vm].store_cut) continue;
+      if (reply.status == 0) {
+        fail_store_call(caller);
+        continue;
+      }
+      send(caller.vm, [this, caller, reply](configuration_controller& controller) {
+        perform(caller.vm, caller.is_list ? controller.vms_listed(now_, caller.call, {})
+                                          : controller.store_answered(now_, caller.call, answer_of(reply)));
+      });
+    }
+  }
+
+  static store_answer answer_of(const store_reply& reply) {
+    if (reply.status == 304) return store_unchanged{};
+    if (reply.status != 200) return store_missing{};
+    const auto& object = reply.objects.at(0);
+    return store_object{object.version, nlohmann::json::parse(object.value).get<std::string>()};
+  }
+
+  void call_peer(std::size_t vm, const ask_peer& ask) {
+    for (std::size_t peer = 0; peer < fleet_size; ++peer) {
+      if (name(peer) != ask.peer || !is_linked(vm, peer)) continue;
+      send(peer, [this, vm, peer, ask](configuration_controller& asked) {
+        if (!is_linked(vm, peer)) return;
+        const auto answer = asked.answer_peer(now_, ask.generation);
+        send(vm, [this, vm, call = ask.call, answer](configuration_controller& asker) {
+          perform(vm, asker.peer_answered(now_, call, answer));
+        });
+      });
+    }
+  }
+
+  void fail(std::size_t vm, const std::string& what) {
+    if (!violation_) violation_ = fmt::format("{}: {}", name(vm).str(), what);
+  }
+
+  void check() {
+    if (faults_.serve_old) served_old_ = now_;
+    for (std::size_t vm = 0; vm < fleet_size; ++vm) {
+      const auto state = vms_[vm].controller->freshness_at(now_);
+      check_generation(vm);
+      if (state == freshness::fresh) {
+        check_fresh(vm);
+        if (!vms_[vm].fresh_since) vms_[vm].fresh_since = now_;
+        vms_[vm].not_fresh_since.reset();
+      } else {
+        vms_[vm].fresh_since.reset();
+        if (!vms_[vm].not_fresh_since) vms_[vm].not_fresh_since = now_;
+      }
+    }
+    for (std::size_t vm = 0; vm < fleet_size; ++vm) {
+      const auto state = vms_[vm].controller->freshness_at(now_);
+      if (state == freshness::store_down) check_store_down(vm);
+      if (state == freshness::isolated) check_isolated(vm);
+    }
+  }
+
+  void check_generation(std::size_t vm) {
+    auto& it = vms_[vm];
+    const auto& document = it.controller->in_force();
+    const auto generation = document.generation();
+    if (generation < it.highest) fail(vm, "the generation went back");
+    it.highest = generation;
+    if (generation.value() > promoted_at_.size()) fail(vm, "the generation was never promoted");
+    if (generation == generation_id{}) return;
+    const auto rate = document.customers().at(0).rate_per_second;
+    if (rate != static_cast<double>(generation.value())) fail(vm, "the text is of another generation");
+  }
+
+  /// A fresh document was the newest at some time within the limit.
+  void check_fresh(std::size_t vm) {
+    const auto limit = timing_settings{}.freshness_limit;
+    // A store that serves old versions confirms what is not the newest; no reader can tell.
+    if (served_old_ && now_ - *served_old_ < limit + knowledge_lag) return;
+    const auto generation = vms_[vm].controller->in_force().generation().value();
+    if (generation == promoted_at_.size()) return;
+    const auto superseded_at = promoted_at_[generation];
+    if (now_ - superseded_at > limit) fail(vm, "an old document counts as fresh");
+  }
+
+  bool is_lasting(std::size_t vm, std::size_t peer) {
+    return is_linked(vm, peer) && now_ - link(vm, peer).changed > knowledge_lag;
+  }
+
+  /// The reason to serve without the store: a reachable majority of which no member is fresh.
+  void check_store_down(std::size_t vm) {
+    std::size_t reachable = 1;
+    for (std::size_t peer = 0; peer < fleet_size; ++peer) {
+      if (peer == vm) continue;
+      const bool lately = is_linked(vm, peer) || now_ - link(vm, peer).changed < knowledge_lag;
+      if (lately) ++reachable;
+      const auto since = vms_[peer].fresh_since;
+      const bool both_last = since && now_ - std::max(*since, *vms_[vm].not_fresh_since) > knowledge_lag;
+      if (is_lasting(vm, peer) && both_last) {
+        fail(vm, "served as if the store were down beside a fresh peer");
+      }
+    }
+    if (reachable * 2 <= fleet_size) fail(vm, "served while isolated");
+  }
+
+  /// A fleet that is whole and lost the store altogether does not refuse.
+  void check_isolated(std::size_t vm) {
+    const auto quiet = std::max({store_changed_, links_changed_, restarted_});
+    const bool whole =
+        std::none_of(links_.begin(), links_.end(), [](const auto& it) { return it.second.is_cut; });
+    if (whole && faults_.down && now_ - quiet > timing_settings{}.freshness_limit + knowledge_lag) {
+      fail(vm, "refused although the store is down for all");
+    }
+  }
+
+  configuration_mutation mutation_;
+  std::minstd_rand random_;
+  time_point now_{std::chrono::seconds{1'000}};
+  object_store_model store_;
+  store_faults faults_;
+  std::vector<time_point> promoted_at_;  ///< By generation - 1.
+  std::vector<vm_state> vms_ = std::vector<vm_state>(fleet_size);
+  std::map<std::size_t, link_state> links_;
+  std::multimap<time_point, std::function<void()>> events_;
+  std::map<std::uint64_t, store_caller> callers_;
+  std::uint64_t last_id_ = 0;
+  time_point store_changed_{};
+  time_point links_changed_{};
+  time_point restarted_{};
+  std::optional<time_point> served_old_;
+  std::optional<std::string> violation_;
+};
+
+}  // namespace bulrushlift
