--- a/packages/limits/fair_queue.cc
+++ b/packages/limits/fair_queue.cc
@@ -6,8 +6,10 @@
 namespace bulrushlift {
 namespace {
 
-// One unit of cost in virtual time; weights up to a million keep six digits.
-constexpr std::uint64_t cost_scale = 1'000'000;
+// One unit of cost at weight 1 in virtual time; weights up to a thousand keep
+// three digits.
+constexpr double cost_scale = 1'000'000;
+constexpr double weight_min = 0.001;
 
 }  // namespace
 
@@ -28,10 +30,10 @@
   return queues_[static_cast<std::size_t>(kind)];
 }
 
-std::uint32_t fair_queue::weight_of(const customer_id& customer) const {
+double fair_queue::weight_of(const customer_id& customer) const {
   if (faults_.ignores_weights) return 1;
   const auto it = weights_.find(customer);
-  return it == weights_.end() ? 1 : std::max<std::uint32_t>(it->second, 1);
+  return it == weights_.end() ? 1 : std::max(it->second, weight_min);
 }
 
 std::size_t fair_queue::size(const customer_id& customer) const {
@@ -47,13 +49,14 @@
   const auto& queue = queue_of(kind);
   const auto own = queue.flows.find(customer);
   const std::uint64_t ahead = own == queue.flows.end() ? 0 : own->second.size();
-  const std::uint64_t own_weight = weight_of(customer);
+  const double own_weight = weight_of(customer);
   // While the customer's own statements and this one run, each other customer
   // runs at most its weighted share of as many.
   std::uint64_t statements = ahead + 1;
   for (const auto& [other, backlog] : queue.flows) {
     if (other == customer) continue;
-    const auto share = (ahead + 1) * weight_of(other) / own_weight + 1;
+    const auto share =
+        static_cast<std::uint64_t>(static_cast<double>(ahead + 1) * weight_of(other) / own_weight) + 1;
     statements += std::min<std::uint64_t>(backlog.size(), share);
   }
   const auto slots = std::max<std::uint64_t>(queue.slots, 1);
@@ -121,9 +124,9 @@
   if (best == nullptr) return std::nullopt;
   const auto it = first_of(*best_lane);
   const auto ticket = it->ticket;
-  const auto cost = std::max<std::uint64_t>(it->cost, 1);
+  const auto cost = std::max<std::uint32_t>(it->cost, 1);
   queue.now = best->start;
-  best->finish = best->start + cost * cost_scale / weight_of(it->customer);
+  best->finish = best->start + static_cast<virtual_time>(cost * cost_scale / weight_of(it->customer));
   best->start = best->finish;
   best_lane->erase(it);
   --total_;
--- a/packages/limits/fair_queue.h
+++ b/packages/limits/fair_queue.h
@@ -41,8 +41,8 @@
 /// Identifies a queued statement; chosen by the caller, unique in the queue.
 using queue_ticket = number_id<struct queue_ticket_tag>;
 
-/// Weight of a customer, at least 1. A customer without an entry has weight 1.
-using customer_weights = std::map<customer_id, std::uint32_t>;
+/// Relative weights, at least 0.001. A customer without an entry has weight 1.
+using customer_weights = std::map<customer_id, double>;
 
 struct fair_queue_options {
   std::size_t customer_bound = 64;  ///< Queued statements of one customer, both classes together.
@@ -142,7 +142,7 @@
 
   [[nodiscard]] class_queue& queue_of(request_class kind) noexcept;
   [[nodiscard]] const class_queue& queue_of(request_class kind) const noexcept;
-  [[nodiscard]] std::uint32_t weight_of(const customer_id& customer) const;
+  [[nodiscard]] double weight_of(const customer_id& customer) const;
   [[nodiscard]] std::optional<error> refusal(const queued_statement& statement, time_point now) const;
   void forget_idle_flows(class_queue& queue);
 
--- a/packages/limits/fair_queue_fuzz.cc
+++ b/packages/limits/fair_queue_fuzz.cc
@@ -28,7 +28,7 @@
 
 struct observed_customer {
   customer_id id;
-  std::uint32_t weight = 1;
+  double weight = 1;
   std::vector<pending_statement> pending;
   double served = 0;  ///< Cost that ran, divided by the weight.
 };
@@ -42,7 +42,7 @@
     customer_weights weights;
     for (std::uint64_t i = 0; i < count; ++i) {
       const customer_id id{"customer-" + std::to_string(i)};
-      const auto weight = static_cast<std::uint32_t>(1 + random_() % 8);
+      const auto weight = static_cast<double>(1 + random_() % 16) / 2;
       weights[id] = weight;
       customers_.push_back({id, weight, {}, 0});
     }
--- a/packages/limits/key_ring.h
+++ b/packages/limits/key_ring.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <compare>
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <unordered_map>
@@ -9,6 +9,7 @@
 #include "base/digest.h"
 #include "base/error.h"
 #include "base/ids.h"
+#include "document/document.h"
 
 /// @file
 /// Authentication of callers by key.
@@ -24,8 +25,6 @@
 
 namespace bulrushlift {
 
-enum class key_state { active, revoked };
-
 /// One key as the document names it. `digest` is SHA-256 of the whole key text.
 struct key_entry {
   key_id id;
--- a/packages/limits/tokens.h
+++ b/packages/limits/tokens.h
@@ -30,6 +30,9 @@
   }
   friend constexpr millitokens operator+(millitokens a, millitokens b) noexcept { return a += b; }
   friend constexpr millitokens operator-(millitokens a, millitokens b) noexcept { return a -= b; }
+  friend constexpr millitokens operator*(millitokens a, std::int64_t n) noexcept {
+    return millitokens{a.value_ * n};
+  }
   friend constexpr bool operator==(const millitokens&, const millitokens&) = default;
   friend constexpr auto operator<=>(const millitokens&, const millitokens&) = default;
 
