--- a/packages/daemon/admin.cc
+++ b/packages/daemon/admin.cc
@@ -29,6 +29,18 @@
           {"bound", pool.bound},     {"slots", pool.slots}, {"slots_in_use", pool.slots_in_use}};
 }
 
+double tokens_of(millitokens amount) { return static_cast<double>(amount.value()) / 1'000; }
+
+json budget_of(const budget_entry& entry, double rate_per_second) {
+  const auto window = std::chrono::duration<double>(budget_options{}.demand_window).count();
+  return {{"rate_per_second", rate_per_second},
+          {"used_per_second", tokens_of(entry.demand) / window},
+          {"level", tokens_of(entry.level)},
+          {"borrowed", tokens_of(entry.borrowed)},
+          {"outstanding", tokens_of(entry.outstanding)},
+          {"waiting", entry.waiting}};
+}
+
 json service_of(const service_executor& executor) {
   const auto& group = executor.group();
   json value{{"owner", group.is_owner},
@@ -103,10 +115,7 @@
   for (const auto& each : board.configuration.customers()) {
     const auto entry = budgets_.entry(each.name);
     if (!entry) continue;
-    value["budgets"][each.name.str()] = {{"level", entry->level.value()},
-                                         {"borrowed", entry->borrowed.value()},
-                                         {"outstanding", entry->outstanding.value()},
-                                         {"waiting", entry->waiting}};
+    value["budgets"][each.name.str()] = budget_of(*entry, each.rate_per_second);
   }
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/packages/daemon/configuration_adapter.cc
+++ b/packages/daemon/configuration_adapter.cc
@@ -1,65 +1,19 @@
 #include "daemon/configuration_adapter.h"
 
-#include <fmt/format.h>
-
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "base/log.h"
+#include "limits/document_limits.h"
 
 namespace bulrushlift {
 namespace {
 
-using nlohmann::json;
-
 constexpr duration tick_interval = std::chrono::milliseconds{100};
-// The controller gives up its calls itself; these bounds only free their connections.
+// The controller gives up its calls itself; this bound only frees the request.
 constexpr duration call_timeout = std::chrono::seconds{5};
-constexpr int status_ok = 200;
-constexpr int status_not_modified = 304;
-constexpr int status_not_found = 404;
-
-std::optional<store_answer> read_object(const http_response& response) {
-  if (response.status == status_not_modified) return store_unchanged{};
-  if (response.status == status_not_found) return store_missing{};
-  if (response.status != status_ok) return std::nullopt;
-  const auto body = json::parse(response.body, nullptr, false);
-  if (!body.is_object() || !body.contains("version") || !body.contains("value")) return std::nullopt;
-  if (!body["version"].is_number_unsigned()) return std::nullopt;
-  store_object object;
-  object.version = object_version{body["version"].get<std::uint64_t>()};
-  object.value = body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump();
-  return object;
-}
-
-std::optional<std::vector<platform_vm>> read_vms(const http_response& response) {
-  const auto body = json::parse(response.body, nullptr, false);
-  if (response.status != status_ok || !body.is_object() || !body.contains("vms")) return std::nullopt;
-  std::vector<platform_vm> vms;
-  for (const auto& each : body["vms"]) {
-    if (!each.is_object()) continue;
-    platform_vm vm;
-    vm.name = each.value("name", "");
-    vm.address = network_address{each.value("address", "")};
-    vm.leaving = each.value("state", "") == "leaving";
-    vms.push_back(std::move(vm));
-  }
-  return vms;
-}
-
-key_ring key_ring_of(const document& configuration) {
-  std::vector<customer_keys> customers;
-  for (const auto& each : configuration.customers()) {
-    customer_keys keys{each.name, {}};
-    for (const auto& key : each.keys) keys.keys.push_back({key.id, key.digest, key.state});
-    customers.push_back(std::move(keys));
-  }
-  return key_ring{customers};
-}
-
 }  // namespace
 
-configuration_adapter::configuration_adapter(daemon_context& context, platform_client& platform,
+configuration_adapter::configuration_adapter(daemon_context& context, object_store_client& platform,
                                              peer_adapter& peers, callbacks report)
     : context_(context),
       platform_(platform),
@@ -112,33 +66,51 @@
 }
 
 void configuration_adapter::run(const read_store& action) {
-  http_request request;
-  request.target = "/v1/objects/" + action.path;
-  if (action.watch_after) {
-    request.target +=
-        fmt::format("?watch_after={}&timeout_ms={}", action.watch_after->value(), action.wait.count());
+  const auto call = action.call;
+  if (!action.watch_after) {
+    platform_.get(action.path, [this, call](const result<platform_object>& found) {
+      if (found) {
+        on_store_answer(call, store_object{found->version, found->value});
+      } else {
+        on_store_failure(call, found.error());
+      }
+    });
+    return;
   }
-  platform_.call(request, action.wait + call_timeout,
-                 [this, call = action.call](const result<http_response>& response) {
-                   const auto answer = response ? read_object(*response) : std::nullopt;
-                   if (answer) {
-                     perform(controller_.store_answered(context_.loop.now(), call, *answer));
-                   } else {
-                     controller_.store_failed(context_.loop.now(), call);
-                   }
-                 });
+  platform_.watch(action.path, *action.watch_after, action.wait,
+                  [this, call](const result<std::optional<platform_object>>& found) {
+                    if (!found) {
+                      on_store_failure(call, found.error());
+                    } else if (*found) {
+                      on_store_answer(call, store_object{(*found)->version, (*found)->value});
+                    } else {
+                      on_store_answer(call, store_unchanged{});
+                    }
+                  });
+}
+
+void configuration_adapter::on_store_answer(configuration_call call, const store_answer& answer) {
+  perform(controller_.store_answered(context_.loop.now(), call, answer));
+}
+
+void configuration_adapter::on_store_failure(configuration_call call, const error& reason) {
+  if (reason.kind == error_kind::not_found) {
+    on_store_answer(call, store_missing{});
+    return;
+  }
+  log_debug("store_call_failed", {{"reason", reason.message}});
+  controller_.store_failed(context_.loop.now(), call);
 }
 
 void configuration_adapter::run(const list_vms& action) {
-  http_request request;
-  request.target = "/v1/vms";
-  platform_.call(request, call_timeout, [this, call = action.call](const result<http_response>& response) {
-    const auto vms = response ? read_vms(*response) : std::nullopt;
-    if (vms) {
-      perform(controller_.vms_listed(context_.loop.now(), call, *vms));
-    } else {
-      controller_.store_failed(context_.loop.now(), call);
+  platform_.list_vms([this, call = action.call](const result<std::vector<platform_list_entry>>& list) {
+    if (!list) {
+      on_store_failure(call, list.error());
+      return;
     }
+    std::vector<platform_vm> vms;
+    for (const auto& each : *list) vms.push_back({each.name, network_address{each.address}, each.leaving});
+    perform(controller_.vms_listed(context_.loop.now(), call, vms));
   });
 }
 
@@ -167,7 +139,7 @@
 
 void configuration_adapter::run(const apply_document& action) {
   context_.board.configuration = action.in_force;
-  context_.board.keys = key_ring_of(action.in_force);
+  context_.board.keys = key_ring{keys_of(action.in_force)};
   log_info("configuration_applied",
            {{"generation", action.in_force.generation().value()}, {"source", action.source}});
   report_.on_changed();
--- a/packages/daemon/configuration_adapter.h
+++ b/packages/daemon/configuration_adapter.h
@@ -6,8 +6,8 @@
 
 #include "daemon/context.h"
 #include "daemon/peer_adapter.h"
-#include "daemon/platform_client.h"
 #include "fleet/configuration_controller.h"
+#include "net/object_store_client.h"
 
 /// @file
 /// Runs the configuration controller: calls to the store and to peers, and the
@@ -22,7 +22,7 @@
     std::function<void()> on_changed;
   };
 
-  configuration_adapter(daemon_context& context, platform_client& platform, peer_adapter& peers,
+  configuration_adapter(daemon_context& context, object_store_client& platform, peer_adapter& peers,
                         callbacks report);
 
   /// Starts the first calls.
@@ -46,10 +46,12 @@
   void run(const apply_document& action);
   void run(const reject_document& action);
   void run(const apply_leaving_targets& action);
+  void on_store_answer(configuration_call call, const store_answer& answer);
+  void on_store_failure(configuration_call call, const error& reason);
   void schedule_tick();
 
   daemon_context& context_;
-  platform_client& platform_;
+  object_store_client& platform_;
   peer_adapter& peers_;
   callbacks report_;
   configuration_controller controller_;
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -34,7 +34,8 @@
 
 proxy_daemon::proxy_daemon(daemon_context& context)
     : context_(context),
-      platform_(context),
+      // The configuration controller paces its calls itself.
+      platform_(context.loop, address_of(context.options.platform).value_or(net_address{}), {}),
       peers_(context),
       configuration_(context, platform_, peers_, {[this] { on_configuration_changed(); }}),
       budgets_(context, peers_),
@@ -56,6 +57,7 @@
                     [this](const http_request& request, const http_responder& respond) {
                       admin_.handle(request, respond);
                     }),
+      status_(context, platform_, router_),
       reconfigure_timer_(context.loop) {}
 
 proxy_daemon::~proxy_daemon() = default;
@@ -85,6 +87,7 @@
   }
   configuration_.update_members();
   configuration_.start();
+  status_.start(bound.admin);
   return bound;
 }
 
@@ -95,7 +98,7 @@
       [this](const vm_id& peer, const configuration_status& status, std::optional<time_point> asked_at) {
         configuration_.on_peer_status(peer, status, asked_at);
       }};
-  result<net_address> bound;
+  result<net_address> bound{};
   for (int i = 0; i < port_attempts; ++i) {
     bound = peer_listener_.listen(address);
     if (!bound) return bound;
@@ -118,7 +121,7 @@
   // Several changes of one turn are applied together, after the controller's event.
   if (reconfigure_timer_.is_set()) return;
   reconfigure_timer_.set(duration::zero(), [this] {
-    std::vector<member_seed> seeds;
+    std::vector<member_seed> seeds{};
     for (const auto& each : context_.board.configuration.vms()) {
       seeds.push_back({each.name, each.peer_address.str(), each.data_centre});
     }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -10,9 +10,10 @@
 #include "daemon/membership_adapter.h"
 #include "daemon/peer_adapter.h"
 #include "daemon/pipeline.h"
-#include "daemon/platform_client.h"
 #include "daemon/route.h"
+#include "daemon/status_adapter.h"
 #include "net/http_server.h"
+#include "net/object_store_client.h"
 #include "net/peer_link.h"
 
 /// @file
@@ -48,7 +49,7 @@
   [[nodiscard]] drain_counts count_work() const;
 
   daemon_context& context_;
-  platform_client platform_;
+  object_store_client platform_;
   peer_adapter peers_;
   configuration_adapter configuration_;
   budget_adapter budgets_;
@@ -59,6 +60,7 @@
   drain_adapter drain_;
   admin_interface admin_;
   http_server admin_server_;
+  status_adapter status_;
   std::unique_ptr<membership_adapter> membership_;
   scoped_timer reconfigure_timer_;
 };
--- a/packages/net/http_codec.cc
+++ b/packages/net/http_codec.cc
@@ -205,8 +205,8 @@
   message.version(http_11);
   message.method_string(request.method);
   message.target(request.target);
-  message.set(http::field::host, string_view{host.data(), host.size()});
   for (const auto& [name, value] : request.headers) message.insert(name, value);
+  message.set(http::field::host, string_view{host.data(), host.size()});
   if (!request.keep_alive) message.set(http::field::connection, "close");
   message.body() = request.body;
   return serialize_message(message);
--- a/packages/standins/local_fleet.cc
+++ b/packages/standins/local_fleet.cc
@@ -296,7 +296,7 @@
                     {"digest", to_hex(as_bytes(sha256(text)))},
                     {"text", text}};
   const auto path = fmt::format("/v1/objects/environments/{}/production", environment_);
-  const auto answer = plain_request(platform_address_, "PUT", path, json{{"value", record}}.dump());
+  const auto answer = plain_request(platform_address_, "PUT", path, json{{"value", record.dump()}}.dump());
   if (!answer) return tl::unexpected<error>(answer.error());
   if (answer->status != 200) return make_error(error_kind::platform_unavailable, answer->body);
   document_ = text;
