Let the loop wait without a bound and cache pool views

Cause: a profile of the daemon showed 12.5 % of its time in gettimeofday, which the reactor calls for each bounded wait, and 5 % in passes over the connections of a pool for its view. Change: the loop waits without a bound and a timer ends run_for; posted callbacks run before the wait; the view of a pool is taken once for each of its events. Next costs: clock reads of the timer queue and three system calls for each event of the reactor.

--- a/packages/daemon/added_latency_benchmark.cc
+++ b/packages/daemon/added_latency_benchmark.cc
@@ -113,7 +113,7 @@
   }
 
   /// @param done gets the time of the request; returns whether to repeat it.
-  void run(std::function<bool(duration)> done) {
+  void run(const std::function<bool(duration)>& done) {
     const auto start = loop_.now();
     connection_.send(request_, setup_bound, [this, start, done](const result<http_response>& response) {
       if (!response) fail(response.error().message);
--- a/packages/daemon/target_connections.cc
+++ b/packages/daemon/target_connections.cc
@@ -80,6 +80,7 @@
 }
 
 void target_connections::perform(const pool_actions& actions) {
+  view_ = pool_.view();
   for (const auto& action : actions) {
     std::visit([this](const auto& each) { run(each); }, action);
   }
--- a/packages/daemon/target_connections.h
+++ b/packages/daemon/target_connections.h
@@ -53,7 +53,7 @@
   void release(connection_id connection);
   void discard(connection_id connection);
 
-  [[nodiscard]] pool_view view() const { return pool_.view(); }
+  [[nodiscard]] const pool_view& view() const noexcept { return view_; }
   [[nodiscard]] const net_address& address() const noexcept { return address_; }
   [[nodiscard]] const target_id& name() const noexcept { return name_; }
 
@@ -91,6 +91,8 @@
   net_address address_;
   pool_controller pool_;
   target_observer& observer_;
+  /// Of the pool after its last event; counting it takes a pass over all connections.
+  pool_view view_;
   std::map<connection_id, target_channel> channels_;
   std::map<ticket_id, unsent_message> unsent_;
   /// The answer that an event of the pool is about.
--- a/packages/net/event_loop.cc
+++ b/packages/net/event_loop.cc
@@ -58,6 +58,9 @@
   bool is_known_ = false;
 };
 
+// Callbacks that post others run this often before the next events are handled.
+constexpr int posted_rounds = 8;
+
 /// Its address is the argument of its timeout.
 struct timer_entry {
   std::uint64_t id = 0;
@@ -140,28 +143,31 @@
 
 void event_loop::run() {
   is_stopped_ = false;
-  while (!is_stopped_) turn(std::chrono::seconds{1});
+  while (!is_stopped_) turn();
 }
 
 void event_loop::run_for(duration span) {
   is_stopped_ = false;
   const auto end = now() + span;
-  while (!is_stopped_) {
-    const auto left = end - now();
-    if (left <= duration::zero()) break;
-    turn(std::min<duration>(left, std::chrono::seconds{1}));
-  }
+  // Wakes the loop at the end if nothing else does.
+  const auto wake = schedule(span, [] {});
+  while (!is_stopped_ && now() < end) turn();
+  cancel(wake);
 }
 
-void event_loop::turn(duration max_wait) {
-  run_posted();
+void event_loop::turn() {
+  for (int i = 0; i < posted_rounds && !state_->posted.empty() && !is_stopped_; ++i) run_posted();
   if (is_stopped_) return;
-  auto wait = state_->posted.empty() ? to_ace(max_wait) : ACE_Time_Value::zero;
-  state_->reactor.handle_events(wait);
+  if (!state_->posted.empty()) {
+    auto no_wait = ACE_Time_Value::zero;
+    state_->reactor.handle_events(no_wait);
+    return;
+  }
+  // Without a bound: the reactor reads the wall clock several times for each bounded wait.
+  state_->reactor.handle_events();
 }
 
 void event_loop::run_posted() {
-  // Callbacks posted by these callbacks run in the next turn, after the events.
   const auto callbacks = std::exchange(state_->posted, {});
   for (const auto& callback : callbacks) callback();
 }
--- a/packages/net/event_loop.h
+++ b/packages/net/event_loop.h
@@ -48,7 +48,7 @@
   /// Drops the timer. Timers that ran or were cancelled are ignored.
   void cancel(timer_id id);
 
-  /// Calls `callback` in the next turn of the loop, in the order of the calls.
+  /// Calls `callback` before the loop waits for events again, in the order of the calls.
   void post(std::function<void()> callback);
 
   /// Calls `callback` for each arrival of the signal, from the loop and not from
@@ -63,7 +63,7 @@
   struct state;
 
   void run_posted();
-  void turn(duration max_wait);
+  void turn();
 
   std::unique_ptr<state> state_;
   bool is_stopped_ = false;
