Run the measuring driver against the whole deployment

Cause: the driver was written before the daemon; reads were compared with the wrong field, and a small event loop lowered the descriptor limit of the whole process (ACE sets it to the loop's size), so audits failed. Change: read the value by key, use loops of the default size, report an incomplete audit as such.

--- a/packages/standins/local_fleet.cc
+++ b/packages/standins/local_fleet.cc
@@ -64,7 +64,8 @@
   if (!where) return tl::unexpected<error>(where.error());
   auto fields = parse_headers(headers);
   if (!fields) return make_error(error_kind::bad_request, "a header is not of the form \"Name: value\"");
-  event_loop loop{64};
+  // A smaller loop would lower the descriptor limit of the whole process.
+  event_loop loop;
   http_connection connection{loop};
   result<plain_answer> answer = make_error(error_kind::internal_error, "no answer");
   const http_request request{.method = method, .target = target, .headers = *fields, .body = body};
--- a/packages/tools/load_generator.cc
+++ b/packages/tools/load_generator.cc
@@ -20,12 +20,11 @@
   return it != fields.end() && it->is_string() ? it->get<std::string>() : std::string{};
 }
 
-/// @return the number that a read returned; 0 if it returned none.
-std::int64_t number_of(const json& result) {
-  if (result.is_number_integer()) return result.get<std::int64_t>();
-  if (!result.is_string()) return 0;
-  const auto text = result.get<std::string>();
-  return std::strtoll(text.c_str(), nullptr, 10);
+/// @return the number that a read of `key` returned; 0 if it returned none.
+std::int64_t number_of(const json& result, const std::string& key) {
+  const auto it = result.find(key);
+  if (it == result.end() || !it->is_string()) return 0;
+  return std::strtoll(it->get<std::string>().c_str(), nullptr, 10);
 }
 
 }  // namespace
@@ -185,7 +184,7 @@
   record.target = text_field(fields, "target");
   record.term = fields.value("term", std::uint64_t{0});
   if (!record.is_write) {
-    record.is_wrong = number_of(fields.value("result", json{})) != record.value;
+    record.is_wrong = number_of(fields.value("result", json::object()), record.key) != record.value;
     return;
   }
   const auto token = response.headers.find("Bulrushlift-Session");
--- a/packages/tools/measure_main.cc
+++ b/packages/tools/measure_main.cc
@@ -160,6 +160,7 @@
         const auto term = status.value("term", std::uint64_t{0});
         if (status.value("role", "") != "primary" || term < highest) continue;
         highest = term;
+        all.is_complete = true;
         all.values = fields->at("values").get<std::map<std::string, std::string>>();
       }
       audits.push_back(std::move(all));
--- a/packages/tools/measurement.cc
+++ b/packages/tools/measurement.cc
@@ -78,14 +78,20 @@
 json audit_report(const std::deque<load_record>& records, const std::vector<service_audit>& audits) {
   audit_counts counts;
   bool is_key_seen = false;
-  for (const auto& audit : audits) is_key_seen = is_key_seen || audit.is_authorization_seen;
+  bool is_complete = true;
+  for (const auto& audit : audits) {
+    is_key_seen = is_key_seen || audit.is_authorization_seen;
+    is_complete = is_complete && audit.is_complete;
+  }
   for (const auto& record : records) {
-    if (record.is_write) audit_write(record, audits[record.route], counts);
+    if (record.is_write && audits[record.route].is_complete)
+      audit_write(record, audits[record.route], counts);
     if (record.is_wrong) ++counts.wrong_reads;
   }
-  const bool is_clean = counts.lost == 0 && counts.doubled == 0 && counts.ran_after_not_run == 0 &&
-                        counts.wrong_reads == 0 && !is_key_seen;
+  const bool is_clean = is_complete && counts.lost == 0 && counts.doubled == 0 &&
+                        counts.ran_after_not_run == 0 && counts.wrong_reads == 0 && !is_key_seen;
   return {{"clean", is_clean},
+          {"complete", is_complete},
           {"lost", counts.lost},
           {"doubled", counts.doubled},
           {"ran_after_not_run", counts.ran_after_not_run},
--- a/packages/tools/measurement.h
+++ b/packages/tools/measurement.h
@@ -23,6 +23,7 @@
 
 /// What the members of one service hold after the run.
 struct service_audit {
+  bool is_complete = false;                   ///< Whether a primary was read.
   std::map<std::string, std::string> values;  ///< Of the primary with the highest term.
   bool is_authorization_seen = false;         ///< By any member.
 };
