--- a/packages/database/group_controller.h
+++ b/packages/database/group_controller.h
@@ -113,7 +113,9 @@
   target_id target;
 };
 
-/// The bytes of a write left for the primary.
+/// The bytes of a write left for the primary. Reported for an open transaction too, from its
+/// begin on: a planned hand-over waits for both, up to `hand_over_wait`. An open transaction
+/// may continue on its connection while `writable_primary` is null for new work.
 struct write_sent {
   request_id request;
 };
--- a/packages/database/write_acknowledgement.cc
+++ b/packages/database/write_acknowledgement.cc
@@ -35,7 +35,6 @@
 }
 
 void write_acknowledgement::update(const group_context& context) {
-  if (waiting_.empty()) return;
   release(context);
   if (!waiting_.empty() && waiting_.begin()->first.first.term < context.view.term) end_late(context);
 }
