--- a/packages/fleet/configuration_controller_test.cc
+++ b/packages/fleet/configuration_controller_test.cc
@@ -125,6 +125,29 @@
   }
 }
 
+// Guards against refusals because of a store that is slow and works: just before an answer the age is that
+// of two calls.
+TEST_CASE("a store that answers two seconds late keeps the configuration fresh") {
+  controller_fixture it;
+  constexpr seconds lateness{2};
+  std::multimap<time_point, configuration_call> due{
+      {it.clock.now() + it.watch.wait + lateness, it.watch.call}};
+  for (int i = 0; i < 600; ++i) {
+    it.clock.advance(milliseconds{100});
+    const auto now = it.clock.now();
+    auto actions = it.controller.tick(now);
+    while (!due.empty() && due.begin()->first <= now) {
+      const auto call = due.extract(due.begin()).mapped();
+      const auto more = it.controller.store_answered(now, call, object_of(3, 30));
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    for (const auto& read : actions_of<read_store>(actions))
+      due.emplace(now + read.wait + lateness, read.call);
+    // The first watch was sent before the delay was known.
+    if (i > 100) CHECK(it.controller.freshness_at(now) == freshness::fresh);
+  }
+}
+
 // Guards against an age without the transit time: a delayed heartbeat would look fresh.
 TEST_CASE("only the answer to a question confirms, counted from the question") {
   controller_fixture it;
