--- a/packages/cli/fleet_commands.cc
+++ b/packages/cli/fleet_commands.cc
@@ -29,7 +29,14 @@
   if (!object.is_object()) return "-";
   const auto it = object.find(name);
   if (it == object.end() || it->is_null()) return "-";
-  return it->is_string() ? it->get<std::string>() : it->dump();
+  if (!it->is_string()) return it->dump();
+  return *it == "" ? "-" : it->get<std::string>();
+}
+
+/// @return the tokens in a field that counts thousandths.
+std::string tokens(const json& object, const char* name) {
+  const auto it = object.find(name);
+  return it != object.end() && it->is_number() ? fmt::format("{:.3f}", it->get<double>() / 1'000) : "-";
 }
 
 /// @return the object in a field; an empty one if it is absent.
@@ -116,7 +123,7 @@
   const auto budgets = object_in(status, "budgets");
   for (const auto& [name, budget] : budgets.items()) {
     rows.push_back({name, field(status, "vm"), field(budget, "rate_per_second"),
-                    field(budget, "used_per_second"), field(budget, "level"), field(budget, "waiting")});
+                    field(budget, "used_per_second"), tokens(budget, "level"), field(budget, "waiting")});
   }
 }
 
--- a/packages/cli/platform_session.cc
+++ b/packages/cli/platform_session.cc
@@ -87,11 +87,22 @@
 
 }  // namespace
 
+namespace {
+
+/// A read that failed changed nothing, whether it reached the platform or not.
+template <class T>
+result<T> as_read(result<T> answer) {
+  if (!answer) answer.error().stated_outcome = outcome::not_run;
+  return answer;
+}
+
+}  // namespace
+
 platform_session::platform_session(event_loop& loop, const net_address& platform)
     : loop_(loop), client_(loop, platform, session_options()) {}
 
 result<platform_object> platform_session::get(std::string_view path) {
-  return wait<platform_object>(loop_, [&](auto done) { client_.get(path, done); });
+  return as_read(wait<platform_object>(loop_, [&](auto done) { client_.get(path, done); }));
 }
 
 result<object_version> platform_session::put(std::string_view path, std::string_view value,
@@ -100,7 +111,7 @@
 }
 
 result<std::vector<platform_object>> platform_session::list(std::string_view prefix) {
-  return wait<std::vector<platform_object>>(loop_, [&](auto done) { client_.list(prefix, done); });
+  return as_read(wait<std::vector<platform_object>>(loop_, [&](auto done) { client_.list(prefix, done); }));
 }
 
 std::vector<result<std::string>> call_all(event_loop& loop, const std::vector<admin_request>& requests) {
--- a/packages/document/comparison.cc
+++ b/packages/document/comparison.cc
@@ -92,7 +92,7 @@
 
 item_map region_items(const document& value) {
   item_map items;
-  items["environment"] = {{"name", value.environment()}};
+  if (!value.environment().empty()) items["environment"] = {{"name", value.environment()}};
   for (const auto& it : value.regions())
     items["region " + it.name] = {{"data_centres", joined(it.data_centres)}};
   return items;
@@ -178,7 +178,7 @@
       warnings.push_back(fmt::format("service {} is removed", it.name.str()));
     }
   }
-  if (before.vms().size() != after.vms().size()) {
+  if (!before.vms().empty() && before.vms().size() != after.vms().size()) {
     warnings.push_back("the set of VMs changes: higher rates apply 7 s later");
   }
   return warnings;
