--- a/packages/daemon/budget_adapter.cc
+++ b/packages/daemon/budget_adapter.cc
@@ -1,15 +1,13 @@
 #include "daemon/budget_adapter.h"
 
-#include <cmath>
 #include <utility>
 
 #include "daemon/peer_adapter.h"
+#include "limits/document_limits.h"
 
 namespace bulrushlift {
 namespace {
 
-constexpr double millitokens_per_token = 1'000;
-
 budget_options options_of(const settings& values) {
   budget_options options;
   options.loan_lifetime = values.timing.loan_lifetime;
@@ -18,19 +16,6 @@
   return options;
 }
 
-millitokens tokens_of(double value) {
-  return millitokens{static_cast<std::int64_t>(std::llround(value * millitokens_per_token))};
-}
-
-budget_document budget_document_of(const document& configuration) {
-  budget_document budgets;
-  for (const auto& each : configuration.vms()) budgets.vms.push_back(each.name);
-  for (const auto& each : configuration.customers()) {
-    budgets.customers[each.name] = {tokens_of(each.rate_per_second), tokens_of(each.burst)};
-  }
-  return budgets;
-}
-
 std::int64_t signed_of(std::uint64_t value) { return static_cast<std::int64_t>(value); }
 std::uint64_t unsigned_of(std::int64_t value) { return static_cast<std::uint64_t>(value); }
 
@@ -43,7 +28,7 @@
       timer_(context.loop) {}
 
 void budget_adapter::configure() {
-  perform(controller_.apply_document(budget_document_of(context_.board.configuration), context_.loop.now()));
+  perform(controller_.apply_document(budgets_of(context_.board.configuration), context_.loop.now()));
 }
 
 void budget_adapter::admit(const customer_id& customer, admit_callback done) {
--- a/packages/daemon/configuration_adapter.cc
+++ b/packages/daemon/configuration_adapter.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "limits/document_limits.h"
 
 namespace bulrushlift {
 namespace {
@@ -47,16 +48,6 @@
   return vms;
 }
 
-key_ring key_ring_of(const document& configuration) {
-  std::vector<customer_keys> customers;
-  for (const auto& each : configuration.customers()) {
-    customer_keys keys{each.name, {}};
-    for (const auto& key : each.keys) keys.keys.push_back({key.id, key.digest, key.state});
-    customers.push_back(std::move(keys));
-  }
-  return key_ring{customers};
-}
-
 }  // namespace
 
 configuration_adapter::configuration_adapter(daemon_context& context, platform_client& platform,
@@ -167,7 +158,7 @@
 
 void configuration_adapter::run(const apply_document& action) {
   context_.board.configuration = action.in_force;
-  context_.board.keys = key_ring_of(action.in_force);
+  context_.board.keys = key_ring{keys_of(action.in_force)};
   log_info("configuration_applied",
            {{"generation", action.in_force.generation().value()}, {"source", action.source}});
   report_.on_changed();
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -133,8 +133,7 @@
   if (message.__isset.relay_request) {
     relay(message.relay_request, respond);
   } else if (message.__isset.loan_request) {
-    reply.__set_loan_reply(budgets_.lend(message.loan_request));
-    respond(std::move(reply));
+    lend(message.loan_request, respond);
   } else if (message.__isset.document_request) {
     reply.__set_document_reply(configuration_.answer_peer(message.document_request));
     respond(std::move(reply));
@@ -145,6 +144,18 @@
   }
 }
 
+void proxy_daemon::lend(const peer::loan_request_t& wire, const peer_responder& respond) {
+  // A VM that can't tell whether its document is in force must not lend from shares of it.
+  if (!may_serve_keys(configuration_.state())) {
+    respond(error{error_kind::configuration_stale, "the lender's configuration is too old", std::nullopt,
+                  outcome::not_run});
+    return;
+  }
+  peer::envelope_t reply;
+  reply.__set_loan_reply(budgets_.lend(wire));
+  respond(std::move(reply));
+}
+
 void proxy_daemon::relay(const peer::relay_request_t& wire, const peer_responder& respond) {
   auto request = from_wire(wire, context_.loop.now());
   if (!request) {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -44,6 +44,7 @@
   void on_members_changed();
   void on_configuration_changed();
   void on_peer_message(const peer::envelope_t& message, const peer_responder& respond);
+  void lend(const peer::loan_request_t& wire, const peer_responder& respond);
   void relay(const peer::relay_request_t& wire, const peer_responder& respond);
   [[nodiscard]] drain_counts count_work() const;
 
--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -6,13 +6,11 @@
 #include <utility>
 
 #include "base/log.h"
+#include "limits/document_limits.h"
 
 namespace bulrushlift {
 namespace {
 
-// Weights of the document have fractions; those of the queue are whole numbers.
-constexpr double weight_scale = 100;
-
 fair_queue_options queue_options_of(const settings& options) {
   fair_queue_options queue;
   queue.customer_bound = options.limits.customer_queue;
@@ -35,15 +33,6 @@
   return traits;
 }
 
-customer_weights weights_of(const document& configuration) {
-  customer_weights weights;
-  weights[anonymous_customer()] = static_cast<std::uint32_t>(weight_scale);
-  for (const auto& each : configuration.customers()) {
-    weights[each.name] = static_cast<std::uint32_t>(std::max(1.0, each.weight * weight_scale));
-  }
-  return weights;
-}
-
 }  // namespace
 
 service_executor::service_executor(daemon_context& context, const service& configured)
--- a/packages/daemon/pipeline.cc
+++ b/packages/daemon/pipeline.cc
@@ -124,7 +124,7 @@
   if (reply && reply->point) merged = updated.merge(service, *reply->point);
   const auto token = encode_session_token(updated, context_.secrets);
   if (!reply) {
-    record(it, name_of(reply.error().kind));
+    record(it, reply.error());
     it.respond(format_error(it.id, reply.error(), token));
     return;
   }
@@ -140,13 +140,24 @@
 }
 
 void caller_pipeline::refuse(const passage& it, const error& reason) {
-  record(it, name_of(reason.kind));
+  record(it, reason);
   it.respond(format_error(it.id, reason));
 }
 
-void caller_pipeline::record(const passage& it, std::string_view kind) {
+void caller_pipeline::record(const passage& it, const error& reason) {
+  record(it, name_of(reason.kind));
+  if (reason.request_outcome() != outcome::not_run) return;
+  // The customer is empty until the request is authenticated. Only names of the
+  // document reach this label, so callers can't add series.
+  context_.registry
+      .counter("refusals_total",
+               {{"kind", std::string{name_of(reason.kind)}}, {"customer", it.customer.str()}})
+      .add();
+}
+
+void caller_pipeline::record(const passage& it, std::string_view result) {
   latency_.record(context_.loop.now() - it.start);
-  context_.registry.counter("requests_total", {{"result", std::string{kind}}}).add();
+  context_.registry.counter("requests_total", {{"result", std::string{result}}}).add();
 }
 
 http_response caller_pipeline::health(bool is_ready) const {
--- a/packages/daemon/pipeline.h
+++ b/packages/daemon/pipeline.h
@@ -41,7 +41,9 @@
   void answer(const passage& it, const session_token& session, const service_id& service,
               const result<service_reply>& reply);
   void refuse(const passage& it, const error& reason);
-  void record(const passage& it, std::string_view kind);
+  /// Counts an error by kind, and by customer if its outcome is "not run".
+  void record(const passage& it, const error& reason);
+  void record(const passage& it, std::string_view result);
   [[nodiscard]] http_response health(bool is_ready) const;
 
   daemon_context& context_;
