Remove conflict markers from the configuration adapter

Cause: a merge with a conflict was committed together with other files. Change: the adapter keeps the version that uses the shared client. Conclusion: a failed merge is looked at before anything is added.

--- a/packages/daemon/configuration_adapter.cc
+++ b/packages/daemon/configuration_adapter.cc
@@ -11,41 +11,6 @@
 constexpr duration tick_interval = std::chrono::milliseconds{100};
 // The controller gives up its calls itself; this bound only frees the request.
 constexpr duration call_timeout = std::chrono::seconds{5};
-<<<<<<< HEAD
-=======
-constexpr int status_ok = 200;
-constexpr int status_not_modified = 304;
-constexpr int status_not_found = 404;
-
-std::optional<store_answer> read_object(const http_response& response) {
-  if (response.status == status_not_modified) return store_unchanged{};
-  if (response.status == status_not_found) return store_missing{};
-  if (response.status != status_ok) return std::nullopt;
-  const auto body = json::parse(response.body, nullptr, false);
-  if (!body.is_object() || !body.contains("version") || !body.contains("value")) return std::nullopt;
-  if (!body["version"].is_number_unsigned()) return std::nullopt;
-  store_object object;
-  object.version = object_version{body["version"].get<std::uint64_t>()};
-  object.value = body["value"].is_string() ? body["value"].get<std::string>() : body["value"].dump();
-  return object;
-}
-
-std::optional<std::vector<platform_vm>> read_vms(const http_response& response) {
-  const auto body = json::parse(response.body, nullptr, false);
-  if (response.status != status_ok || !body.is_object() || !body.contains("vms")) return std::nullopt;
-  std::vector<platform_vm> vms;
-  for (const auto& each : body["vms"]) {
-    if (!each.is_object()) continue;
-    platform_vm vm;
-    vm.name = each.value("name", "");
-    vm.address = network_address{each.value("address", "")};
-    vm.leaving = each.value("state", "") == "leaving";
-    vms.push_back(std::move(vm));
-  }
-  return vms;
-}
-
->>>>>>> limits
 }  // namespace
 
 configuration_adapter::configuration_adapter(daemon_context& context, object_store_client& platform,
