Run the rule check with a group of five

Cause: majorities were exercised with three members only. Change: the random commands without a broken rule also run with five.

--- a/packages/database/group_mutation_test.cc
+++ b/packages/database/group_mutation_test.cc
@@ -51,6 +51,13 @@
 }
 
 TEST_CASE("no rule broken") { CHECK(find_violations({}).empty()); }
+// Guards against a majority that is right for three members only.
+TEST_CASE("no rule broken in a group of five") {
+  world_options options;
+  options.members = 5;
+  CHECK(find_violations(options).empty());
+}
+
 TEST_CASE("broken rule: no fencing") {
   CHECK_FALSE(find_violations(with_rule(broken_group_rule::no_fencing)).empty());
 }
