Classify the answers of targets for retries and transactions

Cause: a refused rollback was reported as a lost connection, so the connection stayed bound and was never used again; a busy target ended the transaction; a cancelled or malformed request was sent again; an ordered rollback was sent with a deadline of 0 ms; a read on an unresponsive connection waited for its whole deadline. Conclusion: the mapping has one place.

--- /dev/null
+++ b/packages/daemon/attempt_results_test.cc
@@ -0,0 +1,38 @@
+#include "daemon/attempt_results.h"
+
+#include <catch2/catch.hpp>
+
+namespace bulrushlift {
+namespace {
+
+target_answer answer_of_kind(const char* kind) {
+  target_answer answer;
+  answer.error_kind = kind;
+  return answer;
+}
+
+// Guards against a cancelled or malformed request that is sent again, and against a refused one that is not.
+TEST_CASE("answers that are final for a request") {
+  CHECK(failure_point_of(answer_of_kind("cancelled")) == failure_point::cancelled);
+  CHECK(failure_point_of(answer_of_kind("statement_failed")) == failure_point::statement_failed);
+  CHECK(failure_point_of(answer_of_kind("bad_request")) == failure_point::statement_failed);
+  for (const auto* kind : {"wrong_term", "not_primary", "behind", "busy", "too_many_connections"}) {
+    CHECK(failure_point_of(answer_of_kind(kind)) == failure_point::refused);
+  }
+}
+
+// Guards against a connection that stays bound after a refused rollback, and against the loss of an open
+// transaction.
+TEST_CASE("answers that leave a transaction open") {
+  CHECK(step_result_of(answer_of_kind("")) == step_result::confirmed);
+  for (const auto* kind : {"statement_failed", "busy", "bad_request"}) {
+    CHECK(step_result_of(answer_of_kind(kind)) == step_result::failed);
+  }
+  for (const auto* kind : {"wrong_term", "not_primary", "unknown_transaction"}) {
+    CHECK(step_result_of(answer_of_kind(kind)) == step_result::refused);
+  }
+  CHECK(step_result_of(make_error(error_kind::target_unavailable, "reset")) == step_result::lost);
+}
+
+}  // namespace
+}  // namespace bulrushlift
--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "daemon/attempt_results.h"
 
 namespace bulrushlift {
 namespace {
@@ -190,9 +191,9 @@
 bool service_executor::start_single(const task_pointer& it, target_connections& connections,
                                     std::optional<term_id> term) {
   const auto& request = it->request;
-  auto message = make_message(request, term, {}, remaining_time(request.deadline, now()));
-  const auto used =
-      connections.start_request(it->ticket, pool_use::single, std::move(message), request.deadline);
+  const auto deadline = attempt_deadline(traits_of_request(request), retry_options_, request.deadline, now());
+  auto message = make_message(request, term, {}, remaining_time(deadline, now()));
+  const auto used = connections.start_request(it->ticket, pool_use::single, std::move(message), deadline);
   if (!used && used.error().kind == error_kind::overloaded) {
     it->state = phase::held;
     return false;
@@ -213,9 +214,7 @@
 
 void service_executor::on_request_end(ticket_id ticket, const result<target_answer>& answer) {
   if (const auto node = rollbacks_.extract(ticket); !node.empty()) {
-    const bool is_confirmed = answer && answer->error_kind.empty();
-    perform(transactions_.on_rollback_result(
-        node.mapped(), is_confirmed ? step_result::confirmed : step_result::lost, now()));
+    perform(transactions_.on_rollback_result(node.mapped(), step_result_of(answer), now()));
     return;
   }
   const auto it = find(ticket.value());
@@ -231,7 +230,7 @@
     it->must_use_primary = true;
     enqueue(it);
   } else if (!answer->error_kind.empty()) {
-    fail_attempt(it, point_of(*answer), error_of(*answer));
+    fail_attempt(it, failure_point_of(*answer), error_of(*answer));
   } else {
     complete(it, *answer);
   }
@@ -261,10 +260,6 @@
   enqueue(it);
 }
 
-failure_point service_executor::point_of(const target_answer& answer) {
-  return answer.error_kind == "statement_failed" ? failure_point::statement_failed : failure_point::refused;
-}
-
 void service_executor::fail_attempt(const task_pointer& it, failure_point point, error cause) {
   report_write_end(*it);
   const auto decision =
--- a/packages/daemon/execute.h
+++ b/packages/daemon/execute.h
@@ -93,7 +93,6 @@
   void expire();
   void rearm();
   [[nodiscard]] task_pointer find(std::uint64_t ticket) const;
-  [[nodiscard]] static failure_point point_of(const target_answer& answer);
 
   // execute_read.cc: choice of the target of a read.
   void pump_reads();
--- a/packages/daemon/execute_read.cc
+++ b/packages/daemon/execute_read.cc
@@ -92,6 +92,7 @@
   requirements.data_centre = context_.options.data_centre;
   requirements.deadline = it.request.deadline;
   requirements.first_routed = it.first_routed;
+  requirements.waiting_before = static_cast<std::uint32_t>(parked_reads_.size());
   requirements.is_primary_only = it.must_use_primary || !it.request.may_use_replicas;
   return requirements;
 }
--- a/packages/daemon/execute_transaction.cc
+++ b/packages/daemon/execute_transaction.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include "base/log.h"
+#include "daemon/attempt_results.h"
 #include "daemon/execute.h"
 
 namespace bulrushlift {
@@ -86,17 +87,15 @@
 }
 
 void service_executor::end_step(const task_pointer& it, const result<target_answer>& answer) {
-  auto value = step_result::lost;
+  const auto value = step_result_of(answer);
   std::optional<error> cause;
   if (!answer) {
     cause = answer.error();
   } else if (answer->error_kind.empty()) {
-    value = step_result::confirmed;
     it->reply.result = answer->result;
     it->reply.point = answer->point;
     it->reply.target = it->target;
   } else {
-    value = answer->error_kind == "statement_failed" ? step_result::failed : step_result::refused;
     cause = error_of(*answer);
   }
   perform(transactions_.on_step_result(*it->transaction, it->ticket, value, cause, now()));
@@ -122,7 +121,8 @@
   service_request request;
   request.what = operation::rollback;
   request.customer = action.transaction.customer;
-  auto message = make_message(request, action.transaction.term, transaction_names_[action.transaction], {});
+  auto message = make_message(request, action.transaction.term, transaction_names_[action.transaction],
+                              remaining_time(action.deadline, now()));
   const ticket_id ticket{++last_ticket_};
   const auto found = targets_.find(action.place.target);
   const bool is_sent =
