Advise to resolve requests that may have run

Cause: the advice followed from the error kind alone. A write that was cut at the end of a drain, and a commit whose owner had died, were answered with outcome "unknown" and retry "now": a caller that followed it could order twice. Change: a stated outcome "unknown" is answered with "resolve"; a commit to a process that has ended and a write cut by a drain are `outcome_unknown`. The test of the successor now demands that kind; it demanded the one that carried the wrong advice. Conclusion: the advice never contradicts the outcome.

--- a/packages/daemon/answer.cc
+++ b/packages/daemon/answer.cc
@@ -19,6 +19,12 @@
   if (!session.empty()) response.headers.add("Bulrushlift-Session", std::string{session});
 }
 
+/// The table's advice holds for the table's outcome; a request that may have run must not be sent again.
+retry_advice retry_of(const error& failure) {
+  const bool is_unknown = failure.stated_outcome == outcome::unknown;
+  return is_unknown ? retry_advice::resolve : traits_of(failure.kind).retry;
+}
+
 }  // namespace
 
 http_response format_reply(const request_id& id, const service_reply& reply, std::string_view session) {
@@ -43,7 +49,7 @@
   json body{{"kind", traits.name},
             {"message", failure.message},
             {"outcome", name_of(failure.request_outcome())},
-            {"retry", name_of(traits.retry)}};
+            {"retry", name_of(retry_of(failure))}};
   if (failure.retry_after) body["retry_after_ms"] = failure.retry_after->count();
   const json whole{{"request_id", id.str()}, {"error", std::move(body)}};
   auto response =
--- a/packages/daemon/attempt_results_test.cc
+++ b/packages/daemon/attempt_results_test.cc
@@ -1,6 +1,9 @@
 #include "daemon/attempt_results.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "daemon/answer.h"
 
 namespace bulrushlift {
 namespace {
@@ -34,5 +37,16 @@
   CHECK(step_result_of(make_error(error_kind::target_unavailable, "reset")) == step_result::lost);
 }
 
+// Guards against a caller that is told to send a request again which may have run.
+TEST_CASE("an unknown outcome is answered with the advice to resolve it") {
+  for (const auto kind :
+       {error_kind::draining, error_kind::transaction_lost, error_kind::deadline_exceeded}) {
+    const error failure{kind, "", std::nullopt, outcome::unknown};
+    const auto body = nlohmann::json::parse(format_error({}, failure).body);
+    CHECK(body["error"]["outcome"] == "unknown");
+    CHECK(body["error"]["retry"] == "resolve");
+  }
+}
+
 }  // namespace
 }  // namespace bulrushlift
--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -318,8 +318,8 @@
   const auto rest = tasks_;
   for (const auto& [ticket, it] : rest) {
     const bool is_read = it->kind == request_class::read;
-    finish(it, tl::unexpected<error>(error{error_kind::draining, "the VM leaves before the request ended",
-                                           std::nullopt, is_read ? outcome::not_run : outcome::unknown}));
+    const auto kind = is_read ? error_kind::draining : error_kind::outcome_unknown;
+    finish(it, make_error(kind, "the VM leaves before the request ended"));
   }
 }
 
--- a/packages/database/transaction_matrix_test.cc
+++ b/packages/database/transaction_matrix_test.cc
@@ -140,10 +140,11 @@
        {transaction_step::statement, transaction_step::commit, transaction_step::rollback}) {
     const auto place = successor.start_step(id, request, ticket_id{1}, {});
     REQUIRE_FALSE(place);
-    const bool is_rollback = request == transaction_step::rollback;
-    CHECK(place.error().kind ==
-          (is_rollback ? error_kind::transaction_unknown : error_kind::transaction_lost));
     const bool is_commit = request == transaction_step::commit;
+    const auto expected = is_commit                               ? error_kind::outcome_unknown
+                          : request == transaction_step::rollback ? error_kind::transaction_unknown
+                                                                  : error_kind::transaction_lost;
+    CHECK(place.error().kind == expected);
     CHECK(place.error().request_outcome() == (is_commit ? outcome::unknown : outcome::not_run));
   }
 }
--- a/packages/database/transaction_table.cc
+++ b/packages/database/transaction_table.cc
@@ -17,7 +17,7 @@
 
 error error_for_missing(transaction_step step) {
   error cause{error_kind::transaction_lost, "the process that had the transaction has ended"};
-  if (step == transaction_step::commit) cause.stated_outcome = outcome::unknown;
+  if (step == transaction_step::commit) cause.kind = error_kind::outcome_unknown;
   // A caller without the answer to its commit may ask for a rollback.
   if (step == transaction_step::rollback) cause.kind = error_kind::transaction_unknown;
   return cause;
