Do not avoid home VMs that are merely low

Cause: a home that lent all it had, as expected, was paused for longer and longer, so moving callers of small customers were refused wrongfully. Change: the pause grows only after less than half of what was expected. The tests of packages/limits pass plainly and under the sanitizers.

--- a/packages/limits/home_list.cc
+++ b/packages/limits/home_list.cc
@@ -87,6 +87,10 @@
     each->pause = duration::zero();
     each->ask_after = now;
   } else {
+    // Only a home that had much less than expected has other borrowers; a home
+    // that was merely low must not be avoided for longer and longer.
+    const bool was_as_expected = reply.amount > millitokens{} && reply.amount * 2 >= pending.expected;
+    if (was_as_expected) each->pause = duration::zero();
     back_off(*each, now);
   }
   return pending;
