--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "base/log.h"
-
 #include "daemon/attempt_results.h"
 #include "limits/document_limits.h"
 
