--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -34,10 +34,10 @@
 
 proxy_daemon::proxy_daemon(daemon_context& context)
     : context_(context),
-      platform_(context),
+      // The configuration controller paces its calls itself.
+      platform_(context.loop, address_of(context.options.platform).value_or(net_address{}), {}),
       peers_(context),
       configuration_(context, platform_, peers_, {[this] { on_configuration_changed(); }}),
-      status_(context, platform_),
       budgets_(context, peers_),
       router_(context, peers_),
       pipeline_(context, configuration_, budgets_, router_),
@@ -57,6 +57,7 @@
                     [this](const http_request& request, const http_responder& respond) {
                       admin_.handle(request, respond);
                     }),
+      status_(context, platform_, router_),
       reconfigure_timer_(context.loop) {}
 
 proxy_daemon::~proxy_daemon() = default;
@@ -97,7 +98,7 @@
       [this](const vm_id& peer, const configuration_status& status, std::optional<time_point> asked_at) {
         configuration_.on_peer_status(peer, status, asked_at);
       }};
-  result<net_address> bound;
+  result<net_address> bound{};
   for (int i = 0; i < port_attempts; ++i) {
     bound = peer_listener_.listen(address);
     if (!bound) return bound;
@@ -120,7 +121,7 @@
   // Several changes of one turn are applied together, after the controller's event.
   if (reconfigure_timer_.is_set()) return;
   reconfigure_timer_.set(duration::zero(), [this] {
-    std::vector<member_seed> seeds;
+    std::vector<member_seed> seeds{};
     for (const auto& each : context_.board.configuration.vms()) {
       seeds.push_back({each.name, each.peer_address.str(), each.data_centre});
     }
@@ -135,8 +136,7 @@
   if (message.__isset.relay_request) {
     relay(message.relay_request, respond);
   } else if (message.__isset.loan_request) {
-    reply.__set_loan_reply(budgets_.lend(message.loan_request));
-    respond(std::move(reply));
+    lend(message.loan_request, respond);
   } else if (message.__isset.document_request) {
     reply.__set_document_reply(configuration_.answer_peer(message.document_request));
     respond(std::move(reply));
@@ -147,6 +147,18 @@
   }
 }
 
+void proxy_daemon::lend(const peer::loan_request_t& wire, const peer_responder& respond) {
+  // A VM that can't tell whether its document is in force must not lend from shares of it.
+  if (!may_serve_keys(configuration_.state())) {
+    respond(error{error_kind::configuration_stale, "the lender's configuration is too old", std::nullopt,
+                  outcome::not_run});
+    return;
+  }
+  peer::envelope_t reply;
+  reply.__set_loan_reply(budgets_.lend(wire));
+  respond(std::move(reply));
+}
+
 void proxy_daemon::relay(const peer::relay_request_t& wire, const peer_responder& respond) {
   auto request = from_wire(wire, context_.loop.now());
   if (!request) {
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -10,10 +10,10 @@
 #include "daemon/membership_adapter.h"
 #include "daemon/peer_adapter.h"
 #include "daemon/pipeline.h"
-#include "daemon/platform_client.h"
 #include "daemon/route.h"
-#include "daemon/status_publisher.h"
+#include "daemon/status_adapter.h"
 #include "net/http_server.h"
+#include "net/object_store_client.h"
 #include "net/peer_link.h"
 
 /// @file
@@ -45,14 +45,14 @@
   void on_members_changed();
   void on_configuration_changed();
   void on_peer_message(const peer::envelope_t& message, const peer_responder& respond);
+  void lend(const peer::loan_request_t& wire, const peer_responder& respond);
   void relay(const peer::relay_request_t& wire, const peer_responder& respond);
   [[nodiscard]] drain_counts count_work() const;
 
   daemon_context& context_;
-  platform_client platform_;
+  object_store_client platform_;
   peer_adapter peers_;
   configuration_adapter configuration_;
-  status_publisher status_;
   budget_adapter budgets_;
   request_router router_;
   caller_pipeline pipeline_;
@@ -61,6 +61,7 @@
   drain_adapter drain_;
   admin_interface admin_;
   http_server admin_server_;
+  status_adapter status_;
   std::unique_ptr<membership_adapter> membership_;
   scoped_timer reconfigure_timer_;
 };
--- a/packages/standins/local_fleet.cc
+++ b/packages/standins/local_fleet.cc
@@ -64,7 +64,8 @@
   if (!where) return tl::unexpected<error>(where.error());
   auto fields = parse_headers(headers);
   if (!fields) return make_error(error_kind::bad_request, "a header is not of the form \"Name: value\"");
-  event_loop loop{64};
+  // A smaller loop would lower the descriptor limit of the whole process.
+  event_loop loop;
   http_connection connection{loop};
   result<plain_answer> answer = make_error(error_kind::internal_error, "no answer");
   const http_request request{.method = method, .target = target, .headers = *fields, .body = body};
@@ -296,7 +297,7 @@
                     {"digest", to_hex(as_bytes(sha256(text)))},
                     {"text", text}};
   const auto path = fmt::format("/v1/objects/environments/{}/production", environment_);
-  const auto answer = plain_request(platform_address_, "PUT", path, json{{"value", record}}.dump());
+  const auto answer = plain_request(platform_address_, "PUT", path, json{{"value", record.dump()}}.dump());
   if (!answer) return tl::unexpected<error>(answer.error());
   if (answer->status != 200) return make_error(error_kind::platform_unavailable, answer->body);
   document_ = text;
