Use the seeds and the retry budget of the settings

Cause: settings.seeds was read and ignored, so a VM that restarts at a new address while the store is down never found its peers; retry_share and retry_minimum had no effect; one vector grew without a reservation. Change: seeds are pinged under their address until the first document replaces them; the budgets take the two settings. Result: 'a VM at a new address finds its peers by the seeds of its settings' failed before (not ready after 15 s) and passes; a restart at the known address and a drain, both without the store, pass before and after. Conclusion: a fleet can replace its VMs while the store is down.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -85,6 +85,7 @@
       return make_error(error_kind::io_error, "cannot watch the termination signals");
     }
   }
+  contact_seeds(bound.peers);
   configuration_.update_members();
   configuration_.start();
   status_.start(bound.admin);
@@ -111,6 +112,16 @@
   return bound;
 }
 
+void proxy_daemon::contact_seeds(const net_address& own) {
+  // The settings name addresses only. A seed stands under its address until it answers with its name; the
+  // first document replaces these seeds by its VMs.
+  std::vector<member_seed> seeds;
+  for (const auto& address : context_.options.seeds) {
+    if (address.str() != own.str()) seeds.push_back({vm_id{address.str()}, address.str(), {}});
+  }
+  membership_->set_seeds(seeds);
+}
+
 void proxy_daemon::on_members_changed() {
   configuration_.update_members();
   budgets_.update_members();
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -42,6 +42,7 @@
 
  private:
   [[nodiscard]] result<net_address> listen_for_peers(const net_address& address);
+  void contact_seeds(const net_address& own);
   void on_members_changed();
   void on_configuration_changed();
   void on_peer_message(const peer::envelope_t& message, const peer_responder& respond);
--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -40,6 +40,7 @@
     : context_(context),
       service_(configured.name),
       queue_(queue_options_of(context.options)),
+      budget_(context.options.limits.retry_share, context.options.limits.retry_minimum),
       transactions_(context.options.vm, context.incarnation, transaction_options_of(context.options)),
       pump_timer_(context.loop),
       wake_timer_(context.loop),
--- a/packages/daemon/membership_adapter.cc
+++ b/packages/daemon/membership_adapter.cc
@@ -27,6 +27,7 @@
 
 std::vector<peer::member_t> to_wire(const std::vector<member>& values) {
   std::vector<peer::member_t> wire;
+  wire.reserve(values.size());
   for (const auto& each : values) wire.push_back(to_wire(each));
   return wire;
 }
--- /dev/null
+++ b/packages/daemon/outage_path_test.cc
@@ -0,0 +1,130 @@
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+#include "standins/local_fleet.h"
+
+namespace bulrushlift {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+// Bound of waits for events; no verdict depends on how long an event takes below it.
+constexpr auto event_bound = 15s;
+
+local_fleet start_fleet(const std::string& name) {
+  local_fleet_options options;
+  options.binary_folder = BULRUSHLIFT_BINARY_DIR "/bin";
+  options.work_folder = std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name;
+  std::filesystem::remove_all(options.work_folder);
+  std::filesystem::create_directories(options.work_folder);
+  options.vms = 3;
+  options.services = {{"orders"}};
+  options.customers = {{"shop", 1'000, 1'000, 1}};
+  options.timing = R"({"dissemination_bound_ms": 200, "freshness_limit_ms": 2500})";
+  auto fleet = local_fleet::start(options);
+  if (!fleet) FAIL(fleet.error().message);
+  return std::move(*fleet);
+}
+
+void await_ready(const local_fleet& fleet, const std::string& vm) {
+  const auto end = std::chrono::steady_clock::now() + event_bound;
+  int status = 0;
+  while (status != 200 && std::chrono::steady_clock::now() < end) {
+    const auto answer = plain_request(fleet.caller_address(vm), "GET", "/readyz", {}, {}, 1s);
+    status = answer ? answer->status : 0;
+    std::this_thread::sleep_for(20ms);
+  }
+  REQUIRE(status == 200);
+}
+
+/// Repeats the statement until it is done; refusals that ran nothing are allowed before.
+void await_done(const local_fleet& fleet, const std::string& vm, const json& body) {
+  const auto end = std::chrono::steady_clock::now() + event_bound;
+  while (true) {
+    const auto answer = plain_request(fleet.caller_address(vm), "POST", "/v1/execute", body.dump(),
+                                      {"Authorization: Bearer " + fleet.key_of("shop")}, 20s);
+    REQUIRE(answer.has_value());
+    if (answer->status == 200) return;
+    const auto fields = json::parse(answer->body);
+    INFO(answer->body);
+    REQUIRE(fields.at("error").at("outcome") == "not_run");
+    REQUIRE(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(20ms);
+  }
+}
+
+void break_store(const local_fleet& fleet) {
+  const auto answer = plain_request(fleet.platform_address(), "POST", "/v1/faults", R"({"down": true})");
+  REQUIRE(answer.has_value());
+  REQUIRE(answer->status == 200);
+}
+
+// Guards against a fleet that loses its VMs one by one while the store is down, because a
+// restarted VM knows neither a document nor the peers that have one.
+TEST_CASE("a VM that restarts without the store serves the document of its peers") {
+  auto fleet = start_fleet("outage_restart");
+  for (const auto& vm : fleet.vms()) await_ready(fleet, vm);
+  await_done(fleet, "entry-1", {{"route", "orders"}, {"kind", "write"}, {"statement", "set hide reserved"}});
+  break_store(fleet);
+  fleet.daemon("entry-1").kill();
+  REQUIRE(fleet.restart("entry-1").has_value());
+  await_ready(fleet, "entry-1");
+  await_done(fleet, "entry-1", {{"route", "orders"}, {"kind", "read"}, {"statement", "get hide"}});
+  await_done(fleet, "entry-1", {{"route", "orders"}, {"kind", "write"}, {"statement", "set hide paid"}});
+}
+
+/// Gives a VM another peer address than the document names for it.
+void move_peer_address(const std::string& settings_path) {
+  auto fields = json::parse(std::ifstream{settings_path});
+  const auto ports = free_ports(1);
+  REQUIRE(ports.has_value());
+  fields["peer_listen"] = "127.0.0.1:" + std::to_string(ports->front());
+  std::ofstream{settings_path} << fields.dump(2);
+}
+
+// Guards against a replacement at a new address, which its peers do not ping, that ignores the
+// seeds of its settings.
+TEST_CASE("a VM at a new address finds its peers by the seeds of its settings") {
+  auto fleet = start_fleet("outage_seeds");
+  for (const auto& vm : fleet.vms()) await_ready(fleet, vm);
+  await_done(fleet, "entry-2", {{"route", "orders"}, {"kind", "write"}, {"statement", "set hide reserved"}});
+  break_store(fleet);
+  fleet.daemon("entry-1").kill();
+  move_peer_address(BULRUSHLIFT_BINARY_DIR "/path/outage_seeds/entry-1.jsonc");
+  REQUIRE(fleet.restart("entry-1").has_value());
+  await_ready(fleet, "entry-1");
+  await_done(fleet, "entry-1", {{"route", "orders"}, {"kind", "read"}, {"statement", "get hide"}});
+}
+
+// Guards against a drain that waits for the store or ends requests when it is down (I12).
+TEST_CASE("a VM drains without the store and cuts no request") {
+  auto fleet = start_fleet("outage_drain");
+  for (const auto& vm : fleet.vms()) await_ready(fleet, vm);
+  await_done(fleet, "entry-2", {{"route", "orders"}, {"kind", "write"}, {"statement", "set hide reserved"}});
+  break_store(fleet);
+  fleet.daemon("entry-1").signal(SIGTERM);
+  int cut = 0;
+  int done = 0;
+  while (true) {
+    const auto answer = plain_request(fleet.caller_address("entry-1"), "POST", "/v1/execute",
+                                      R"({"route": "orders", "kind": "read", "statement": "get hide"})",
+                                      {"Authorization: Bearer " + fleet.key_of("shop")}, 20s);
+    if (!answer && answer.error().request_outcome() == outcome::not_run) break;
+    if (!answer) ++cut;
+    if (answer && answer->status == 200) ++done;
+  }
+  CHECK(cut == 0);
+  CHECK(done > 0);
+  CHECK(fleet.daemon("entry-1").wait(event_bound) == 0);
+  await_done(fleet, "entry-2", {{"route", "orders"}, {"kind", "read"}, {"statement", "get hide"}});
+}
+
+}  // namespace
+}  // namespace bulrushlift
--- a/packages/daemon/route.cc
+++ b/packages/daemon/route.cc
@@ -94,10 +94,15 @@
     it->bound_to = id->owner;
     it->request.service = id->service;
   }
-  budgets_[it->request.service].count_request(context_.loop.now());
+  budget_of(it->request.service).count_request(context_.loop.now());
   attempt(it);
 }
 
+retry_budget& request_router::budget_of(const service_id& service) {
+  const auto& limits = context_.options.limits;
+  return retry_budgets_.try_emplace(service, limits.retry_share, limits.retry_minimum).first->second;
+}
+
 std::optional<vm_id> request_router::owner_of(const relay& it) const {
   if (it.bound_to) return it.bound_to;
   return next_owner(it.request.service, context_.board.members, it.failed);
@@ -177,7 +182,7 @@
   }
   it->failed.push_back(owner);
   const auto decision =
-      it->attempts.on_failure({failure_point::after_send, failure}, budgets_[it->request.service], {},
+      it->attempts.on_failure({failure_point::after_send, failure}, budget_of(it->request.service), {},
                               context_.loop.now(), context_.random());
   if (const auto* end = std::get_if<give_up>(&decision)) {
     finish(it, tl::unexpected<error>(end->cause));
--- a/packages/daemon/route.h
+++ b/packages/daemon/route.h
@@ -49,6 +49,7 @@
   void on_reply(const relay_pointer& it, const vm_id& owner, const result<service_reply>& reply);
   void retry_later(const relay_pointer& it, error cause);
   void finish(const relay_pointer& it, const result<service_reply>& reply);
+  [[nodiscard]] retry_budget& budget_of(const service_id& service);
   [[nodiscard]] std::optional<vm_id> owner_of(const relay& it) const;
   [[nodiscard]] service_executor* executor_of(const service_id& service) const;
   void run(const take_ownership& action);
@@ -58,7 +59,7 @@
   peer_adapter& peers_;
   ownership_controller ownership_;
   std::map<service_id, std::unique_ptr<service_executor>> executors_;
-  std::map<service_id, retry_budget> budgets_;
+  std::map<service_id, retry_budget> retry_budgets_;
   std::vector<relay_pointer> relays_;
   std::size_t pending_ = 0;
 };
--- a/packages/database/retry_policy.cc
+++ b/packages/database/retry_policy.cc
@@ -48,7 +48,8 @@
     requests += it.requests;
     retries += it.retries;
   }
-  if (static_cast<double>(retries + 1) > base + share * static_cast<double>(requests)) return false;
+  const auto allowed = static_cast<double>(minimum_) + share_ * static_cast<double>(requests);
+  if (static_cast<double>(retries + 1) > allowed) return false;
   ++current.retries;
   return true;
 }
--- a/packages/database/retry_policy.h
+++ b/packages/database/retry_policy.h
@@ -46,13 +46,14 @@
 /// that a failover does not double the load.
 class retry_budget {
  public:
-  /// Retries for each request of the last `window` seconds.
-  static constexpr double share = 0.1;
-  /// Retries that are allowed without any recent request.
-  static constexpr double base = 3;
   /// Length of the recent past, in buckets of one second.
   static constexpr std::size_t window = 10;
 
+  /// @param share retries for each request of the last `window` seconds.
+  /// @param minimum retries that are allowed without any recent request.
+  explicit retry_budget(double share = 0.1, std::size_t minimum = 3) noexcept
+      : share_(share), minimum_(minimum) {}
+
   void count_request(time_point now);
   /// @return whether one more retry is allowed now; it is counted if so.
   [[nodiscard]] bool take(time_point now);
@@ -65,6 +66,8 @@
   };
   [[nodiscard]] bucket& bucket_at(time_point now);
 
+  double share_;
+  std::size_t minimum_;
   std::array<bucket, window> buckets_{};
 };
 
--- a/packages/database/retry_policy_test.cc
+++ b/packages/database/retry_policy_test.cc
@@ -58,6 +58,15 @@
   CHECK(later == 3);
 }
 
+// Guards against settings that the budget ignores.
+TEST_CASE("the share and the minimum of the retry budget are settings") {
+  retry_budget budget{0.5, 1};
+  for (int i = 0; i < 100; ++i) budget.count_request(start);
+  int retries = 0;
+  while (budget.take(start)) ++retries;
+  CHECK(retries == 51);
+}
+
 // Guards against requests that are refused in a failover although nothing was sent.
 TEST_CASE("attempts that sent nothing are repeated until the deadline") {
   retry_budget budget;
