--- a/packages/tools/measurement.cc
+++ b/packages/tools/measurement.cc
@@ -116,8 +116,12 @@
     if (level < 1) continue;
     level -= 1;
     ++count.inside;
-    if (is_rate_refusal(record)) ++count.refused;
   }
+  const auto admitted = static_cast<std::uint64_t>(
+      std::count_if(records.begin(), records.end(), [customer](const load_record& record) {
+        return record.customer == customer && !is_rate_refusal(record);
+      }));
+  count.refused = count.inside > admitted ? count.inside - admitted : 0;
   return count;
 }
 
--- a/packages/tools/measurement.h
+++ b/packages/tools/measurement.h
@@ -31,7 +31,9 @@
 /// Requests of a customer that the rate and burst allowed, as an observer of all arrivals sees it.
 struct refusal_count {
   std::uint64_t inside = 0;
-  std::uint64_t refused = 0;  ///< Of those, refused as over the rate or burst.
+  /// By how many requests the fleet admitted fewer than that. A customer that sends more than its rate may
+  /// have other requests admitted than the observer's bucket would; only the number counts.
+  std::uint64_t refused = 0;
 };
 
 /// Replays all arrivals of a customer through one token bucket.
