--- a/packages/tools/load_generator.cc
+++ b/packages/tools/load_generator.cc
@@ -97,7 +97,7 @@
   if (!from.token.empty()) request.headers.add("Bulrushlift-Session", from.token);
   records_.push_back(std::move(record));
   ++in_flight_;
-  dispatch(records_.size() - 1, std::move(request), index, connect_attempts);
+  dispatch(records_.size() - 1, request, index, connect_attempts);
 }
 
 std::size_t load_generator::choose_vm() {
@@ -110,7 +110,7 @@
   return usable[std::uniform_int_distribution<std::size_t>{0, usable.size() - 1}(random_)];
 }
 
-void load_generator::dispatch(std::size_t record, http_request request, std::size_t session_index,
+void load_generator::dispatch(std::size_t record, const http_request& request, std::size_t session_index,
                               int attempts_left) {
   const auto vm = choose_vm();
   auto& idle = vms_[vm].idle;
--- a/packages/tools/load_generator.h
+++ b/packages/tools/load_generator.h
@@ -96,7 +96,8 @@
   void schedule_arrival(std::size_t customer);
   void arrive(std::size_t customer);
   [[nodiscard]] std::string make_body(load_record& record, const session& from);
-  void dispatch(std::size_t record, http_request request, std::size_t session_index, int attempts_left);
+  void dispatch(std::size_t record, const http_request& request, std::size_t session_index,
+                int attempts_left);
   void send(std::size_t record, const http_request& request, std::size_t session_index, std::size_t vm,
             int attempts_left, std::unique_ptr<http_connection> connection);
   void finish(std::size_t record, const http_response& response, std::size_t session_index);
