--- a/packages/limits/budget_fleet_fake.h
+++ b/packages/limits/budget_fleet_fake.h
@@ -39,7 +39,6 @@
   std::map<std::uint64_t, budget_share> documents_;
   double level_ = 0;
   duration settled_{};
-  bool is_new_ = true;
 };
 
 /// The steps of a loan at which the fault matrix places faults.
