Test that a daemon with bad settings starts nothing

Cause: only the parser of the settings was tested, not the program. Change: a path test starts bulrushliftd with two wrong settings. Conclusion: the behaviour is guarded.

--- a/packages/daemon/outage_path_test.cc
+++ b/packages/daemon/outage_path_test.cc
@@ -103,6 +103,25 @@
   await_done(fleet, "entry-1", {{"route", "orders"}, {"kind", "read"}, {"statement", "get hide"}});
 }
 
+// Guards against a daemon that starts in part with settings that it does not understand.
+TEST_CASE("a daemon with bad settings names each error and starts nothing") {
+  const std::string folder = BULRUSHLIFT_BINARY_DIR "/path/bad_settings";
+  std::filesystem::remove_all(folder);
+  std::filesystem::create_directories(folder);
+  std::ofstream{folder + "/settings.jsonc"} << "{\n  \"vm\": 1,\n  \"no_such_setting\": true\n}\n";
+  auto daemon = child_process::start(
+      {BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--settings", folder + "/settings.jsonc"},
+      folder + "/daemon.log");
+  REQUIRE(daemon.has_value());
+  CHECK_FALSE(daemon->read_line(event_bound).has_value());
+  CHECK(daemon->wait(event_bound) == 1);
+  std::ifstream file{folder + "/daemon.log"};
+  const std::string log{std::istreambuf_iterator<char>{file}, {}};
+  INFO(log);
+  CHECK(log.find("line 2") != std::string::npos);
+  CHECK(log.find("no_such_setting") != std::string::npos);
+}
+
 // Guards against a drain that waits for the store or ends requests when it is down (I12).
 TEST_CASE("a VM drains without the store and cuts no request") {
   auto fleet = start_fleet("outage_drain");
