Relay statements to the VM that owns their service

Cause: a target is told which customer connects, so a connection serves one customer. With an even share of the connections on each VM (3 for 8 customers), every second statement opened one. The owner VM of a service (rendezvous hash over the members) now holds its connections; the others relay statements to it. The wire forms of heartbeats and loans moved to a package of their own, used by both daemons. Monotonic time counts suspension, so that ages include it.

--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 #include <concepts>
 
@@ -18,10 +20,15 @@
   { clock.now() } -> std::same_as<time_point>;
 };
 
-/// The machine's monotonic clock.
+/// The machine's monotonic clock, which goes on while the machine is suspended: the age of
+/// a sample or of a loan must include that time.
 class system_clock {
  public:
-  [[nodiscard]] time_point now() const noexcept { return std::chrono::steady_clock::now(); }
+  [[nodiscard]] time_point now() const noexcept {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point{std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec}};
+  }
 };
 
 /// A clock that tests move by hand.
--- a/packages/daemon/budget_adapter.cc
+++ b/packages/daemon/budget_adapter.cc
@@ -4,6 +4,7 @@
 
 #include "daemon/peer_adapter.h"
 #include "limits/document_limits.h"
+#include "peers/loan_wire.h"
 
 namespace bulrushlift {
 namespace {
@@ -16,9 +17,6 @@
   return options;
 }
 
-std::int64_t signed_of(std::uint64_t value) { return static_cast<std::int64_t>(value); }
-std::uint64_t unsigned_of(std::int64_t value) { return static_cast<std::uint64_t>(value); }
-
 }  // namespace
 
 budget_adapter::budget_adapter(daemon_context& context, peer_adapter& peers)
@@ -54,17 +52,9 @@
 }
 
 peer::loan_reply_t budget_adapter::lend(const peer::loan_request_t& wire) {
-  loan_request request;
-  request.sender = vm_id{wire.sender};
-  request.incarnation = incarnation_id{unsigned_of(wire.incarnation)};
-  request.customer = customer_id{wire.customer};
-  request.amount = millitokens{wire.millitokens};
-  for (const auto& use : wire.used) {
-    request.used.push_back({loan_id{unsigned_of(use.loan)}, millitokens{use.used_millitokens}});
-  }
   reply_ = {};
   reply_.customer = wire.customer;
-  perform(controller_.on_loan_request(request, context_.loop.now()));
+  perform(controller_.on_loan_request(from_wire(wire), context_.loop.now()));
   return reply_;
 }
 
@@ -88,20 +78,8 @@
 }
 
 void budget_adapter::run(const ask_loan& action) {
-  peer::loan_request_t wire;
-  wire.sender = action.request.sender.str();
-  wire.incarnation = signed_of(action.request.incarnation.value());
-  wire.customer = action.request.customer.str();
-  wire.millitokens = action.request.amount.value();
-  for (const auto& use : action.request.used) {
-    peer::loan_use_t each;
-    each.loan = signed_of(use.loan.value());
-    each.used_millitokens = use.used.value();
-    wire.used.push_back(each);
-  }
-  wire.generation = signed_of(context_.board.configuration.generation().value());
   peer::envelope_t message;
-  message.__set_loan_request(wire);
+  message.__set_loan_request(to_wire(action.request, context_.board.configuration.generation()));
   const auto request = action.request;
   const auto home = action.home;
   peers_.request(
@@ -111,21 +89,11 @@
           perform(controller_.on_loan_failed(home, request.customer, request.id, context_.loop.now()));
           return;
         }
-        const auto& grant = reply->loan_reply;
-        // The link matches the reply to its request, so the wire form has no request id.
-        perform(
-            controller_.on_loan_reply(home,
-                                      {request.id, request.customer, loan_id{unsigned_of(grant.loan)},
-                                       millitokens{grant.millitokens}, millitokens{grant.level_millitokens}},
-                                      context_.loop.now()));
+        perform(controller_.on_loan_reply(home, from_wire(reply->loan_reply, request), context_.loop.now()));
       });
 }
 
-void budget_adapter::run(const answer_loan& action) {
-  reply_.loan = signed_of(action.reply.loan.value());
-  reply_.millitokens = action.reply.amount.value();
-  reply_.level_millitokens = action.reply.level.value();
-}
+void budget_adapter::run(const answer_loan& action) { reply_ = to_wire(action.reply); }
 
 void budget_adapter::run(const resume_request& action) { finish(action.ticket, {}); }
 
--- a/packages/daemon/membership_adapter.cc
+++ b/packages/daemon/membership_adapter.cc
@@ -5,6 +5,7 @@
 
 #include "base/log.h"
 #include "peer_protocol/frame.h"
+#include "peers/membership_wire.h"
 
 namespace bulrushlift {
 namespace {
@@ -15,95 +16,6 @@
 std::int64_t signed_of(std::uint64_t value) { return static_cast<std::int64_t>(value); }
 std::uint64_t unsigned_of(std::int64_t value) { return static_cast<std::uint64_t>(value); }
 
-peer::member_t to_wire(const member& value) {
-  peer::member_t wire;
-  wire.vm = value.vm.str();
-  wire.address = value.address;
-  wire.data_centre = value.data_centre.str();
-  wire.incarnation = signed_of(value.incarnation.value());
-  wire.state = std::string{name_of(value.state)};
-  return wire;
-}
-
-std::vector<peer::member_t> to_wire(const std::vector<member>& values) {
-  std::vector<peer::member_t> wire;
-  wire.reserve(values.size());
-  for (const auto& each : values) wire.push_back(to_wire(each));
-  return wire;
-}
-
-std::vector<member> from_wire(const std::vector<peer::member_t>& wire) {
-  std::vector<member> values;
-  for (const auto& each : wire) {
-    const auto state = member_state_from_name(each.state);
-    if (!state) continue;
-    values.push_back({vm_id{each.vm}, each.address, data_centre_id{each.data_centre},
-                      incarnation_id{unsigned_of(each.incarnation)}, *state});
-  }
-  return values;
-}
-
-peer::configuration_status_t to_wire(const configuration_status& status) {
-  peer::configuration_status_t wire;
-  wire.generation = signed_of(status.generation.value());
-  // A negative age means that there was no confirmation.
-  wire.confirmed_age_ms =
-      status.confirmed_age ? std::chrono::ceil<std::chrono::milliseconds>(*status.confirmed_age).count() : -1;
-  return wire;
-}
-
-configuration_status from_wire(const peer::configuration_status_t& wire) {
-  configuration_status status;
-  status.generation = generation_id{unsigned_of(wire.generation)};
-  if (wire.confirmed_age_ms >= 0) status.confirmed_age = std::chrono::milliseconds{wire.confirmed_age_ms};
-  return status;
-}
-
-membership_message message_of(const peer::envelope_t& envelope) {
-  membership_message message;
-  message.id = unsigned_of(envelope.id);
-  if (envelope.__isset.ping) {
-    const auto& ping = envelope.ping;
-    message.kind =
-        ping.__isset.target ? membership_message_kind::indirect_ping : membership_message_kind::ping;
-    message.sender = vm_id{ping.sender};
-    message.incarnation = incarnation_id{unsigned_of(ping.incarnation)};
-    message.subject = vm_id{ping.target};
-    message.updates = from_wire(ping.updates);
-    return message;
-  }
-  const auto& ack = envelope.ack;
-  message.kind = membership_message_kind::ack;
-  message.sender = vm_id{ack.sender};
-  message.incarnation = incarnation_id{unsigned_of(ack.incarnation)};
-  message.subject = vm_id{ack.subject};
-  message.updates = from_wire(ack.updates);
-  return message;
-}
-
-peer::envelope_t envelope_of(const membership_message& message, const configuration_status& status) {
-  peer::envelope_t envelope;
-  envelope.id = signed_of(message.id);
-  if (message.kind == membership_message_kind::ack) {
-    peer::ack_t ack;
-    ack.sender = message.sender.str();
-    ack.incarnation = signed_of(message.incarnation.value());
-    ack.updates = to_wire(message.updates);
-    ack.configuration = to_wire(status);
-    ack.subject = message.subject.str();
-    envelope.__set_ack(ack);
-    return envelope;
-  }
-  peer::ping_t ping;
-  ping.sender = message.sender.str();
-  ping.incarnation = signed_of(message.incarnation.value());
-  ping.updates = to_wire(message.updates);
-  ping.configuration = to_wire(status);
-  if (message.kind == membership_message_kind::indirect_ping) ping.__set_target(message.subject.str());
-  envelope.__set_ping(ping);
-  return envelope;
-}
-
 }  // namespace
 
 membership_adapter::membership_adapter(daemon_context& context, peer_adapter& peers,
--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -19,10 +19,10 @@
 
 }  // namespace
 
-caller_session::caller_session(entry_context& context, statement_runner& runner, budget_port& budgets,
+caller_session::caller_session(entry_context& context, statement_router& router, budget_port& budgets,
                                end_callback on_end)
     : context_(context),
-      runner_(runner),
+      router_(router),
       budgets_(budgets),
       on_end_(std::move(on_end)),
       connection_(context.loop, *this) {}
@@ -34,9 +34,9 @@
 
 void caller_session::clean_up() {
   if (running_) {
-    runner_.cancel(running_);
+    router_.cancel(running_);
     // The running statement owns the connection of its transaction until it ends.
-    if (transaction_) transaction_->connection = nullptr;
+    if (transaction_) transaction_->place = {};
     running_ = nullptr;
   }
   release_transaction();
@@ -86,7 +86,7 @@
 
 void caller_session::release_transaction() {
   if (!transaction_) return;
-  if (const auto connection = std::exchange(transaction_->connection, nullptr)) runner_.roll_back(connection);
+  router_.roll_back(std::exchange(transaction_->place, {}));
   transaction_.reset();
 }
 
@@ -94,13 +94,13 @@
   if (is_busy_ || !transaction_ || transaction_->has_failed) return;
   log_warning("transaction_aborted",
               {{"request_id", transaction_->begin.id}, {"database", database_}, {"reason", reason}});
-  if (const auto connection = std::exchange(transaction_->connection, nullptr)) runner_.roll_back(connection);
+  router_.roll_back(std::exchange(transaction_->place, {}));
   transaction_->has_failed = true;
 }
 
 void caller_session::on_tick(time_point now) {
-  if (is_busy_ || !transaction_ || !transaction_->connection) return;
-  const auto limit = transaction_->environment->transaction_idle_limit;
+  if (is_busy_ || !transaction_ || !transaction_->place.is_set()) return;
+  const auto limit = transaction_->granted.environment->transaction_idle_limit;
   if (now - transaction_->last_used >= limit) abort_transaction("idle for too long");
 }
 
@@ -114,8 +114,10 @@
 std::optional<caller_error> caller_session::find_access(access& out) const {
   out.environment = context_.board.environment;
   if (!out.environment) return caller_error::busy;
-  out.route = out.environment->find_database(database_);
-  if (out.route == nullptr) return caller_error::no_database;
+  const auto* route = out.environment->find_database(database_);
+  if (route == nullptr) return caller_error::no_database;
+  // Shares the ownership of the whole environment.
+  out.route = {out.environment, route};
   out.customer = customer_of(*out.environment, *out.route);
   if (out.customer.empty()) return caller_error::access_denied;
   return std::nullopt;
@@ -232,9 +234,7 @@
     answer_error(caller_error::malformed, "no transaction is open");
     return;
   }
-  if (const auto connection = std::exchange(transaction_->connection, nullptr)) {
-    runner_.roll_back(connection, statement);
-  }
+  router_.roll_back(std::exchange(transaction_->place, {}), statement);
   transaction_.reset();
   answer_complete("");
 }
@@ -270,8 +270,7 @@
     is_busy_ = false;
     transaction_ = transaction{};
     transaction_->begin = statement;
-    transaction_->environment = allowed.environment;
-    transaction_->route = allowed.route;
+    transaction_->granted = allowed;
     transaction_->last_used = context_.loop.now();
     answer_complete("");
     process();
@@ -287,14 +286,11 @@
     answer_error(caller_error::malformed, "no transaction is open");
     return;
   }
-  access allowed;
   if (transaction_) {
-    allowed.environment = transaction_->environment;
-    allowed.route = transaction_->route;
-    allowed.customer = customer_of(*allowed.environment, *allowed.route);
-    run(statement, allowed);
+    run(statement, transaction_->granted);
     return;
   }
+  access allowed;
   if (const auto refusal = find_access(allowed)) {
     refuse_and_close(*refusal, "no longer in the configuration");
     return;
@@ -306,7 +302,6 @@
   const auto now = context_.loop.now();
   auto item = std::make_shared<work_item>();
   item->statement = statement;
-  item->environment = allowed.environment;
   item->route = allowed.route;
   item->customer = allowed.customer;
   item->session = session_;
@@ -314,8 +309,8 @@
   item->deadline = now + allowed.route->statement_timeout;
   if (statement.kind == statement_kind::execute) item->prepared = session_->prepared[statement.name];
   if (transaction_) {
-    item->pinned = transaction_->connection;
-    if (!item->pinned) item->begin = transaction_->begin;
+    item->pinned = transaction_->place;
+    if (!item->pinned.is_set()) item->begin = transaction_->begin;
     transaction_->has_written = transaction_->has_written || item->is_write();
   }
   item->done = [this, alive = is_alive_, statement](const work_result& result) {
@@ -323,13 +318,13 @@
   };
   is_busy_ = true;
   running_ = item;
-  runner_.run(item);
+  router_.run(item);
 }
 
 void caller_session::take_transaction_result(const sql::statement& statement, const work_result& result) {
   const bool is_commit = statement.kind == statement_kind::commit;
   if (result.error) {
-    transaction_->connection = nullptr;
+    transaction_->place = {};
     if (is_commit) {
       transaction_.reset();
     } else {
@@ -338,7 +333,7 @@
     return;
   }
   if (!is_commit) {
-    transaction_->connection = result.connection;
+    transaction_->place = result.transaction;
     transaction_->last_used = context_.loop.now();
     return;
   }
--- a/packages/entry/caller_session.h
+++ b/packages/entry/caller_session.h
@@ -9,7 +9,7 @@
 
 #include "entry/budget_port.h"
 #include "entry/entry_context.h"
-#include "entry/statement_runner.h"
+#include "entry/statement_router.h"
 #include "platform/caller_connection.h"
 #include "sql/session_state.h"
 
@@ -24,7 +24,7 @@
   /// Told once when the session is over; it may be destroyed from the next turn on.
   using end_callback = std::function<void(caller_session&)>;
 
-  caller_session(entry_context& context, statement_runner& runner, budget_port& budgets, end_callback on_end);
+  caller_session(entry_context& context, statement_router& router, budget_port& budgets, end_callback on_end);
   caller_session(const caller_session&) = delete;
   caller_session& operator=(const caller_session&) = delete;
   ~caller_session() override;
@@ -45,24 +45,23 @@
   void on_tick(time_point now);
 
  private:
+  /// The route and customer of the next operation.
+  struct access {
+    std::shared_ptr<const sql::environment> environment;
+    std::shared_ptr<const sql::database_route> route;
+    customer_id customer;
+  };
+
   /// A transaction as its caller sees it.
   struct transaction {
     sql::statement begin;
-    std::shared_ptr<const sql::environment> environment;
-    const sql::database_route* route = nullptr;
-    connection_pool::connection_ptr connection;  ///< Null until the first statement ran.
+    access granted;
+    open_transaction place;  ///< Not set until the first statement ran.
     bool has_failed = false;
     bool has_written = false;
     time_point last_used{};
   };
 
-  /// The route and customer of the next operation.
-  struct access {
-    std::shared_ptr<const sql::environment> environment;
-    const sql::database_route* route = nullptr;
-    customer_id customer;
-  };
-
   void on_message(platform::caller_message message) override;
   void on_oversize() override;
   void on_gone() override;
@@ -99,7 +98,7 @@
   void end();
 
   entry_context& context_;
-  statement_runner& runner_;
+  statement_router& router_;
   budget_port& budgets_;
   end_callback on_end_;
   platform::caller_connection connection_;
--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -17,9 +17,17 @@
 // Idle connections are closed before the platform closes them.
 constexpr duration idle_lifetime = seconds{40};
 
+// A former owner closes its connections after this time without use.
+constexpr duration surplus_time = milliseconds{100};
+
 // Pause before another connection is opened to a target that was at its limit.
 constexpr duration crowded_pause = milliseconds{150};
 
+// The owner of a service leaves room for a VM that has not yet heard of it, and for the
+// next owner.
+constexpr std::size_t owner_percent = 75;
+constexpr std::size_t others_percent = 12;
+
 }  // namespace
 
 connection_pool::connection_pool(entry_context& context, change_callback on_change)
@@ -30,8 +38,10 @@
   if (!environment) return 0;
   const auto it = environment->services.find(service);
   if (it == environment->services.end()) return 0;
-  const auto vms = std::max<std::size_t>(context_.board.vms.size(), 1);
-  return std::max<std::size_t>(it->second.connection_limit / vms, 1);
+  const std::size_t limit = it->second.connection_limit;
+  const bool is_owner = owner_of(service, context_.board) == context_.settings.vm;
+  const auto part = is_owner ? limit * owner_percent / 100 : limit * others_percent / 100;
+  return std::max<std::size_t>(part, 1);
 }
 
 connection_pool::connection_ptr connection_pool::find_idle(const target_id& target,
@@ -173,7 +183,10 @@
   for (const auto& [target, connections] : connections_) {
     for (const auto& each : connections) {
       if (each->give_up && *each->give_up <= now) late.push_back(each);
-      if (each->use == connection_use::idle && now - each->used >= idle_lifetime) unused.push_back(each);
+      if (each->use != connection_use::idle) continue;
+      const bool is_surplus =
+          connections.size() > limit_of(each->service) && now - each->used >= surplus_time;
+      if (is_surplus || now - each->used >= idle_lifetime) unused.push_back(each);
     }
   }
   for (const auto& each : late) {
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -8,6 +8,8 @@
 
 #include "base/metrics.h"
 #include "entry/entry_settings.h"
+#include "fleet/membership_controller.h"
+#include "fleet/ownership.h"
 #include "net/event_loop.h"
 #include "platform/documents.h"
 #include "sql/environment.h"
@@ -23,10 +25,18 @@
   std::shared_ptr<const sql::environment> environment;  ///< `store_adapter`; null until the first one.
   std::map<service_id, sql::service_board> services;    ///< `store_adapter` and `statement_runner`.
   std::map<vm_id, platform::vm_record> vms;             ///< `store_adapter`.
+  std::vector<member> members;                          ///< `membership_port`.
   bool is_target_list_trusted = false;                  ///< `store_adapter`.
   bool is_draining = false;                             ///< `entry_daemon`.
 };
 
+/// @return the VM that holds the target connections of a service: nothing if no VM serves.
+[[nodiscard]] inline std::optional<vm_id> owner_of(const service_id& service, const entry_board& board) {
+  const auto placement = place_service(service, board.members);
+  if (!placement) return std::nullopt;
+  return placement->owner;
+}
+
 struct entry_context {
   entry_context(entry_settings values, incarnation_id start, std::uint64_t seed)
       : settings(std::move(values)), incarnation(start), random(seed) {}
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_daemon.h"
 
 #include <csignal>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -25,7 +26,8 @@
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
-store_adapter::observer observer_for(entry_context& context, budget_port& budgets, statement_runner& runner,
+store_adapter::observer observer_for(entry_context& context, budget_port& budgets,
+                                     membership_port& membership, statement_runner& runner,
                                      std::function<void()> on_environment,
                                      std::function<void(const platform::promotion_record&)> on_promotion) {
   store_adapter::observer observer;
@@ -35,7 +37,8 @@
     runner.pump_all();
   };
   observer.on_targets = [&runner](const service_id& service) { runner.pump(service); };
-  observer.on_vms = [&context, &budgets] {
+  observer.on_vms = [&context, &budgets, &membership] {
+    membership.update_seeds();
     context.counters.gauge("vms").set(static_cast<double>(context.board.vms.size()));
     budgets.configure();
   };
@@ -47,11 +50,15 @@
 
 entry_daemon::entry_daemon(entry_context& context)
     : context_(context),
-      budgets_(context),
+      peers_(context),
+      budgets_(context, peers_),
       runner_(context),
+      router_(context, peers_, runner_),
+      membership_(
+          context, [this] { on_members(); }, [this] { context_.loop.stop(); }),
       store_(context,
              observer_for(
-                 context, budgets_, runner_,
+                 context, budgets_, membership_, runner_,
                  [this] {
                    std::vector<caller_session*> all;
                    for (const auto& [key, each] : sessions_) all.push_back(key);
@@ -80,7 +87,8 @@
   if (const auto bound = readiness_.listen(settings.readiness_listen); !bound) {
     return tl::unexpected<error>(bound.error());
   }
-  if (const auto bound = budgets_.listen(); !bound) return tl::unexpected<error>(bound.error());
+  if (const auto bound = peers_.listen(); !bound) return tl::unexpected<error>(bound.error());
+  if (const auto bound = membership_.open(); !bound) return tl::unexpected<error>(bound.error());
   if (const auto bound = metrics_.listen(settings.metrics_listen); !bound) {
     return tl::unexpected<error>(bound.error());
   }
@@ -108,7 +116,7 @@
 }
 
 void entry_daemon::accept(int handle) {
-  auto session = std::make_unique<caller_session>(context_, runner_, budgets_,
+  auto session = std::make_unique<caller_session>(context_, router_, budgets_,
                                                   [this](caller_session& ended) { forget(ended); });
   auto* key = session.get();
   if (!session->adopt(handle)) {
@@ -127,11 +135,21 @@
   context_.loop.post([last] {});
 }
 
+void entry_daemon::on_members() {
+  std::set<vm_id> unreachable;
+  for (const auto& each : context_.board.members) {
+    if (each.state != member_state::alive) unreachable.insert(each.vm);
+  }
+  budgets_.set_unreachable(std::move(unreachable));
+  runner_.pump_all();
+}
+
 void entry_daemon::on_tick() {
   tick_timer_.set(statement_runner::tick_interval, [this] { on_tick(); });
   runner_.on_tick();
   if (++ticks_ % ticks_per_slow_tick != 0) return;
   failover_.on_tick();
+  router_.on_tick();
   const auto now = context_.loop.now();
   for (const auto& [key, each] : sessions_) {
     if (each->has_transaction()) each->on_tick(now);
@@ -142,6 +160,7 @@
 void entry_daemon::drain() {
   if (std::exchange(context_.board.is_draining, true)) return;
   drain_start_ = context_.loop.now();
+  membership_.leave();
   log_info("drain_started", {{"sessions", std::uint64_t{sessions_.size()}}});
 }
 
@@ -150,7 +169,8 @@
   const auto total = context_.settings.drain_time;
   if (elapsed >= total * transaction_percent / 100) abort_transactions();
   if (elapsed >= std::min(readiness_time, total / 2)) close_sessions();
-  const bool is_served = sessions_.empty() && elapsed >= readiness_time;
+  const bool is_served =
+      sessions_.empty() && router_.relayed_transactions() == 0 && elapsed >= readiness_time;
   if (!is_served && elapsed < total * exit_percent / 100) return;
   log_info("drained", {{"sessions", std::uint64_t{sessions_.size()}}});
   context_.loop.stop();
--- a/packages/entry/entry_daemon.h
+++ b/packages/entry/entry_daemon.h
@@ -8,6 +8,9 @@
 #include "entry/caller_session.h"
 #include "entry/entry_context.h"
 #include "entry/failover_adapter.h"
+#include "entry/membership_port.h"
+#include "entry/peer_port.h"
+#include "entry/statement_router.h"
 #include "entry/statement_runner.h"
 #include "entry/store_adapter.h"
 #include "net/http_server.h"
@@ -35,6 +38,7 @@
  private:
   void accept(int handle);
   void forget(caller_session& session);
+  void on_members();
   void on_tick();
   void on_drain_tick();
   void close_sessions();
@@ -42,8 +46,11 @@
   [[nodiscard]] http_response answer_readiness() const;
 
   entry_context& context_;
+  peer_port peers_;
   budget_port budgets_;
   statement_runner runner_;
+  statement_router router_;
+  membership_port membership_;
   store_adapter store_;
   failover_adapter failover_;
   tcp_listener front_;
--- /dev/null
+++ b/packages/entry/membership_port.cc
@@ -0,0 +1,113 @@
+#include "entry/membership_port.h"
+
+#include <utility>
+#include <vector>
+
+#include "base/log.h"
+#include "peer_protocol/frame.h"
+#include "peers/membership_wire.h"
+
+namespace bulrushlift::entry {
+
+membership_port::membership_port(entry_context& context, std::function<void()> on_change,
+                                 std::function<void()> on_superseded)
+    : context_(context),
+      on_change_(std::move(on_change)),
+      on_superseded_(std::move(on_superseded)),
+      controller_({context.settings.vm, context.settings.peer_listen.str(), context.settings.data_centre,
+                   context.incarnation, member_state::alive},
+                  {}),
+      socket_(context.loop,
+              [this](const net_address& from, std::string_view bytes) { on_datagram(from, bytes); }),
+      timer_(context.loop) {
+  context_.board.members = controller_.members();
+}
+
+result<net_address> membership_port::open() {
+  auto bound = socket_.open(context_.settings.peer_listen);
+  if (bound) rearm();
+  return bound;
+}
+
+void membership_port::update_seeds() {
+  std::vector<member_seed> seeds;
+  for (const auto& [vm, record] : context_.board.vms) {
+    seeds.push_back({vm, record.peer_address, record.data_centre});
+  }
+  perform(controller_.set_seeds(seeds, context_.loop.now()));
+}
+
+void membership_port::leave() { perform(controller_.leave(context_.loop.now())); }
+
+void membership_port::on_datagram(const net_address& from, std::string_view bytes) {
+  const auto envelope = decode_envelope(bytes);
+  if (!envelope || !(envelope->__isset.ping || envelope->__isset.ack || envelope->__isset.leave)) {
+    log_debug("datagram_ignored", {{"from", from.str()}});
+    return;
+  }
+  const auto now = context_.loop.now();
+  if (envelope->__isset.leave) {
+    const auto& leave = envelope->leave;
+    perform(controller_.on_leave(vm_id{leave.sender},
+                                 incarnation_id{static_cast<std::uint64_t>(leave.incarnation)}, now));
+    return;
+  }
+  perform(controller_.on_message(message_of(*envelope), from.str(), now, context_.random()));
+}
+
+void membership_port::perform(const membership_actions& actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& each) { run(each); }, action);
+  }
+  if (std::exchange(is_changed_, false)) {
+    context_.board.members = controller_.members();
+    on_change_();
+  }
+  rearm();
+}
+
+configuration_status membership_port::status() const {
+  configuration_status value;
+  if (context_.board.environment) value.generation = context_.board.environment->generation;
+  return value;
+}
+
+void membership_port::run(const send_membership& action) {
+  const auto to = parse_address(action.address);
+  if (!to) {
+    log_warning("peer_address_invalid", {{"address", action.address}, {"reason", to.error().message}});
+    return;
+  }
+  socket_.send(*to, encode_envelope(envelope_of(action.message, status())));
+}
+
+void membership_port::run(const member_changed& action) {
+  is_changed_ = true;
+  log_info("member_changed", {{"member", action.now.vm.str()},
+                              {"state", name_of(action.now.state)},
+                              {"address", action.now.address},
+                              {"incarnation", action.now.incarnation.value()}});
+}
+
+void membership_port::run(const send_leave& action) {
+  const auto to = parse_address(action.address);
+  if (!to) return;
+  peer::leave_t leave;
+  leave.sender = context_.settings.vm.str();
+  leave.incarnation = static_cast<std::int64_t>(action.incarnation.value());
+  peer::envelope_t envelope;
+  envelope.__set_leave(leave);
+  socket_.send(*to, encode_envelope(envelope));
+}
+
+void membership_port::run(const stop_instance& action) {
+  log_error("instance_superseded", {{"successor", action.successor.value()}});
+  on_superseded_();
+}
+
+void membership_port::rearm() {
+  timer_.set(controller_.next_timer() - context_.loop.now(),
+             [this] { perform(controller_.on_timer(context_.loop.now(), context_.random())); });
+}
+
+}  // namespace bulrushlift::entry
--- /dev/null
+++ b/packages/entry/membership_port.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <functional>
+
+#include "entry/entry_context.h"
+#include "fleet/configuration_controller.h"
+#include "net/datagram_socket.h"
+
+/// @file
+/// Heartbeats between the VMs over UDP: runs the membership controller and publishes
+/// the members on the blackboard.
+
+namespace bulrushlift::entry {
+
+class membership_port {
+ public:
+  /// @param on_change called when a member came, left or changed its state.
+  /// @param on_superseded called when a later process has this VM's name.
+  membership_port(entry_context& context, std::function<void()> on_change,
+                  std::function<void()> on_superseded);
+
+  [[nodiscard]] result<net_address> open();
+
+  /// Takes the VMs that the store lists as seeds.
+  void update_seeds();
+
+  /// Announces that this VM leaves, so that its services move at once.
+  void leave();
+
+ private:
+  void perform(const membership_actions& actions);
+  void run(const send_membership& action);
+  void run(const member_changed& action);
+  void run(const send_leave& action);
+  void run(const stop_instance& action);
+  void on_datagram(const net_address& from, std::string_view bytes);
+  [[nodiscard]] configuration_status status() const;
+  void rearm();
+
+  entry_context& context_;
+  std::function<void()> on_change_;
+  std::function<void()> on_superseded_;
+  membership_controller controller_;
+  datagram_socket socket_;
+  bool is_changed_ = false;
+  scoped_timer timer_;
+};
+
+}  // namespace bulrushlift::entry
--- /dev/null
+++ b/packages/entry/peer_port.cc
@@ -0,0 +1,78 @@
+#include "entry/peer_port.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "base/log.h"
+
+namespace bulrushlift::entry {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A statement's latency objective is a few hundred milliseconds, so a silent peer must
+// be noticed well before that.
+peer_link_options link_options(std::uint64_t seed) {
+  peer_link_options options;
+  options.connect_timeout = milliseconds{300};
+  options.max_backoff = milliseconds{400};
+  options.probe_after = milliseconds{150};
+  options.probe_timeout = milliseconds{350};
+  options.seed = seed;
+  return options;
+}
+
+}  // namespace
+
+peer_port::peer_port(entry_context& context)
+    : context_(context),
+      server_(context.loop, {}, [this](const peer::envelope_t& message, const peer_responder& respond) {
+        on_message(message, respond);
+      }) {}
+
+result<net_address> peer_port::listen() { return server_.listen(context_.settings.peer_listen); }
+
+void peer_port::on_message(const peer::envelope_t& message, const peer_responder& respond) {
+  if (message.__isset.loan_request) {
+    on_loan_request_(message, respond);
+  } else if (message.__isset.statement_request || message.__isset.transaction_end) {
+    on_statement_(message, respond);
+  } else {
+    respond(error{error_kind::protocol_error, "the message is not understood"});
+  }
+}
+
+peer_link* peer_port::link_to(const vm_id& vm) {
+  const auto record = context_.board.vms.find(vm);
+  if (record == context_.board.vms.end()) return nullptr;
+  auto& known = peers_[vm];
+  if (known.link && known.address == record->second.peer_address) return known.link.get();
+  const auto address = parse_address(record->second.peer_address);
+  if (!address) {
+    log_warning("peer_address_invalid", {{"peer", vm.str()}, {"reason", address.error().message}});
+    return nullptr;
+  }
+  known.address = record->second.peer_address;
+  known.link = std::make_unique<peer_link>(context_.loop, *address, link_options(context_.random()));
+  return known.link.get();
+}
+
+void peer_port::request(const vm_id& to, peer::envelope_t message, duration timeout,
+                        peer_link::reply_callback done) {
+  if (auto* link = link_to(to)) {
+    link->request(std::move(message), timeout, std::move(done));
+    return;
+  }
+  context_.loop.post([to, done = std::move(done)] {
+    done(tl::unexpected<error>(error{error_kind::peer_unavailable,
+                                     fmt::format("VM \"{}\" has no known address", to.str()), std::nullopt,
+                                     outcome::not_run}));
+  });
+}
+
+void peer_port::send(const vm_id& to, peer::envelope_t message) {
+  if (auto* link = link_to(to)) link->send(std::move(message));
+}
+
+}  // namespace bulrushlift::entry
--- /dev/null
+++ b/packages/entry/peer_port.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <peer_types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "entry/entry_context.h"
+#include "net/peer_link.h"
+
+/// @file
+/// Links to the other VMs and the server for theirs.
+
+namespace bulrushlift::entry {
+
+class peer_port {
+ public:
+  using handler = std::function<void(const peer::envelope_t&, const peer_responder&)>;
+
+  explicit peer_port(entry_context& context);
+
+  /// Sets who answers loan requests, and who answers statements and transaction ends.
+  /// Call both before `listen`.
+  void on_loan_request(handler callback) { on_loan_request_ = std::move(callback); }
+  void on_statement(handler callback) { on_statement_ = std::move(callback); }
+
+  [[nodiscard]] result<net_address> listen();
+
+  /// @param done gets `peer_unavailable` with the outcome `not_run` if the VM is not known.
+  void request(const vm_id& to, peer::envelope_t message, duration timeout, peer_link::reply_callback done);
+  /// Sends a message that has no reply.
+  void send(const vm_id& to, peer::envelope_t message);
+
+ private:
+  struct known_peer {
+    std::string address;
+    std::unique_ptr<peer_link> link;
+  };
+
+  void on_message(const peer::envelope_t& message, const peer_responder& respond);
+  [[nodiscard]] peer_link* link_to(const vm_id& vm);
+
+  entry_context& context_;
+  handler on_loan_request_;
+  handler on_statement_;
+  std::map<vm_id, known_peer> peers_;
+  peer_server server_;
+};
+
+}  // namespace bulrushlift::entry
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -26,6 +26,10 @@
 constexpr int read_patience_percent = 75;
 constexpr duration least_read_patience = milliseconds{150};
 
+// Statements beyond a target's slots that are sent ahead, so that a slot is not empty
+// while the next statement is on its way.
+constexpr std::uint32_t extra_running = 1;
+
 // Time that the target has to end a transaction before its connection is closed.
 constexpr duration rollback_timeout = milliseconds{500};
 
@@ -35,8 +39,8 @@
     : context_(context), pool_(context, [this](const service_id& service) { pump(service); }) {}
 
 void statement_runner::run(work_ptr item) {
-  if (item->pinned) {
-    start(item, item->pinned, std::nullopt);
+  if (item->pinned.is_set()) {
+    start(item, item->pinned.connection, std::nullopt);
     return;
   }
   enqueue(item);
@@ -93,6 +97,11 @@
   const auto required = required_point(*item);
   auto candidates = board->second.candidates({required, context_.settings.data_centre}, now);
   if (item->avoid && candidates.size() > 1) std::erase(candidates, *item->avoid);
+  // A target that runs as many statements as it has slots needs no further connection.
+  std::erase_if(candidates, [&](const target_id& target) {
+    const auto* entry = board->second.find(target);
+    return entry == nullptr || entry->running >= entry->info.slots + extra_running;
+  });
   if (candidates.empty()) return false;
   if (try_idle(item, candidates, required)) return true;
   open_for(item, candidates);
@@ -136,25 +145,25 @@
   context_.board.services[connection->service].on_started(connection->target);
   auto plan = plan_batch(*item, *connection, required);
   const auto first = plan.first_part();
-  connection->io.run(first,
-                     [this, item, connection, plan = std::move(plan), now](const platform::batch_result& result) {
-                       on_first_part(item, connection, plan, now, result);
-                     });
+  connection->io.run(
+      first, [this, item, connection, plan = std::move(plan), now](const platform::batch_result& result) {
+        on_first_part(item, connection, plan, now, result);
+      });
 }
 
 void statement_runner::on_first_part(const work_ptr& item, const connection_pool::connection_ptr& connection,
                                      const batch_plan& plan, time_point sent,
                                      const platform::batch_result& result) {
-  const bool has_failed =
-      !result.is_complete || std::any_of(result.replies.begin(), result.replies.end(),
-                                         [](const sql::target_reply& each) { return each.error.has_value(); });
+  const bool has_failed = !result.is_complete ||
+                          std::any_of(result.replies.begin(), result.replies.end(),
+                                      [](const sql::target_reply& each) { return each.error.has_value(); });
   const auto second = plan.second_part();
   if (second.empty() || has_failed || item->is_cancelled) {
     on_batch(item, connection, plan, sent, result);
     return;
   }
-  connection->io.run(second, [this, item, connection, plan, sent, before = result.replies](
-                                 const platform::batch_result& rest) {
+  connection->io.run(second, [this, item, connection, plan, sent,
+                              before = result.replies](const platform::batch_result& rest) {
     auto whole = rest;
     whole.replies.insert(whole.replies.begin(), before.begin(), before.end());
     on_batch(item, connection, plan, sent, whole);
@@ -242,7 +251,7 @@
   }
   const bool stays_open = item->is_in_transaction() && verdict.state == sql::transaction_state::open;
   if (stays_open) {
-    result.connection = connection;
+    result.transaction.connection = connection;
   } else {
     settle_connection(connection, verdict);
   }
@@ -254,7 +263,7 @@
   const auto now = context_.loop.now();
   const auto error = verdict.error.value_or(target_error::connection_lost);
   const bool is_open = verdict.state == sql::transaction_state::open && verdict.is_connection_usable;
-  const bool can_repeat_here = item->pinned && error == target_error::busy && is_open;
+  const bool can_repeat_here = item->pinned.is_set() && error == target_error::busy && is_open;
   if (can_repeat_here && item->attempts < most_attempts && now + busy_pause < item->deadline) {
     context_.loop.schedule(busy_pause, [this, item, connection] {
       if (item->is_cancelled) {
@@ -274,7 +283,7 @@
     if (leader != nullptr && leader->info.target == connection->target) item->needs_primary = true;
   }
   const auto pause = error == target_error::busy ? busy_pause : duration::zero();
-  if (!item->pinned && retry(item, connection->target, pause)) return;
+  if (!item->pinned.is_set() && retry(item, connection->target, pause)) return;
   if (error == target_error::malformed) {
     fail(item, caller_error::malformed, verdict.error_text);
     return;
@@ -285,14 +294,14 @@
 void statement_runner::on_lost(const work_ptr& item, const target_id& target,
                                const attempt_verdict& verdict) {
   const auto reason = sql::name_of(verdict.error.value_or(target_error::connection_lost));
-  const bool is_commit_sent = item->is_commit() && item->pinned;
+  const bool is_commit_sent = item->is_commit() && item->pinned.is_set();
   const bool is_write_sent = item->is_write() && !item->is_in_transaction();
   if (is_commit_sent || is_write_sent) {
     fail(item, caller_error::outcome_unknown, reason);
     return;
   }
   // Closing the connection rolled the transaction back, so its first statement can run again.
-  if (!item->pinned && retry(item, target, duration::zero())) return;
+  if (!item->pinned.is_set() && retry(item, target, duration::zero())) return;
   // Nothing of a read or of an uncommitted transaction is kept.
   fail(item, item->is_in_transaction() ? caller_error::aborted : caller_error::busy, reason);
 }
--- a/packages/entry/work_item.h
+++ b/packages/entry/work_item.h
@@ -16,13 +16,21 @@
 
 namespace bulrushlift::entry {
 
+/// A transaction that is open on a target connection of this VM or of another one.
+struct open_transaction {
+  connection_pool::connection_ptr connection = nullptr;  ///< Of this VM; null if it is elsewhere.
+  vm_id owner = {};                                      ///< The other VM.
+  std::uint64_t number = 0;                              ///< Of the transaction at the other VM.
+
+  [[nodiscard]] bool is_set() const noexcept { return connection || number != 0; }
+};
+
 /// What became of a statement.
 struct work_result {
   std::optional<sql::caller_error> error = std::nullopt;
-  std::string reason = {};       ///< Of the error, for the caller and the log.
-  sql::target_reply reply = {};  ///< Without an error: rows, signature and point.
-  /// The connection of the transaction that is open after the statement.
-  connection_pool::connection_ptr connection = nullptr;
+  std::string reason = {};            ///< Of the error, for the caller and the log.
+  sql::target_reply reply = {};       ///< Without an error: rows, signature and point.
+  open_transaction transaction = {};  ///< Open after the statement.
 };
 
 struct work_item {
@@ -32,9 +40,8 @@
   /// Set on the first statement of a transaction: the caller's begin.
   std::optional<sql::statement> begin = std::nullopt;
   /// Set on later statements of a transaction.
-  connection_pool::connection_ptr pinned = nullptr;
-  std::shared_ptr<const sql::environment> environment;  ///< Keeps `route` alive.
-  const sql::database_route* route = nullptr;
+  open_transaction pinned = {};
+  std::shared_ptr<const sql::database_route> route;
   customer_id customer;
   std::shared_ptr<const sql::session_state> session;
   /// Of the statement that `execute` runs.
@@ -43,7 +50,8 @@
   time_point deadline{};
   callback done;
 
-  // State of the runner.
+  // State of the router and of the runner.
+  std::uint32_t relays = 0;
   std::uint32_t attempts = 0;
   time_point not_before{};                        ///< Pause before the next attempt.
   std::optional<target_id> avoid = std::nullopt;  ///< Target of the attempt that failed.
@@ -56,7 +64,7 @@
     return statement.kind == sql::statement_kind::write || (prepared && prepared->is_write);
   }
   [[nodiscard]] bool is_commit() const noexcept { return statement.kind == sql::statement_kind::commit; }
-  [[nodiscard]] bool is_in_transaction() const noexcept { return begin || pinned; }
+  [[nodiscard]] bool is_in_transaction() const noexcept { return begin || pinned.is_set(); }
   /// @return whether the target must be the primary.
   [[nodiscard]] bool is_for_primary() const noexcept {
     const bool may_write = begin ? begin->kind == sql::statement_kind::begin : is_write();
--- a/packages/peer_protocol/peer.thrift
+++ b/packages/peer_protocol/peer.thrift
@@ -118,6 +118,68 @@
   4: required list<string> leaving_targets
 }
 
+/** A statement of a caller's session. `kind` is the number of the product's statement kind. */
+struct session_statement_t {
+  1: required string id
+  2: required i32 kind
+  3: required string text
+  4: optional string name
+  5: optional string argument
+}
+
+struct session_value_t {
+  1: required string name
+  2: required string value
+}
+
+struct prepared_statement_t {
+  1: required bool is_write
+  2: required string shape
+}
+
+/** What the owner of a service needs of a route. `level` is the number of the consistency level. */
+struct session_route_t {
+  1: required string service_name
+  2: required i32 level
+  3: required i64 max_staleness_ms
+  4: required i64 statement_timeout_ms
+  5: required i64 latency_objective_ms
+  6: required i32 priority
+}
+
+/** A statement that the owner of the service runs for the VM of the session. */
+struct statement_request_t {
+  1: required string sender
+  2: required string customer
+  3: required session_route_t route
+  4: required session_statement_t statement
+  /** Set on the first statement of a transaction. */
+  5: optional session_statement_t opening
+  /** Number of the open transaction at the owner; set on later statements. */
+  6: optional i64 transaction
+  7: required list<session_value_t> values
+  8: optional prepared_statement_t prepared
+  9: optional log_point_t own_commit
+  10: required i64 deadline_ms
+}
+
+struct statement_reply_t {
+  /** Number of the caller error; not set after a success. */
+  1: optional i32 error
+  2: optional string reason
+  3: required list<string> rows
+  4: required string signature
+  5: optional log_point_t point
+  /** Number of the transaction that is open after the statement. */
+  6: optional i64 transaction
+}
+
+/** Rolls an open transaction back; with the caller's own statement if it sent one. */
+struct transaction_end_t {
+  1: required i64 transaction
+  2: optional session_statement_t statement
+}
+
 struct envelope_t {
   /** Correlates a reply with its request; chosen by the requester. */
   1: required i64 id
@@ -131,4 +193,7 @@
   9: optional document_request_t document_request
   10: optional document_reply_t document_reply
   11: optional error_t error
+  12: optional statement_request_t statement_request
+  13: optional statement_reply_t statement_reply
+  14: optional transaction_end_t transaction_end
 }
