Let surveys of targets end and only a service's watchers fail over

VMs cut off from the store claimed with an old view as soon as they came back. Now only the owner and the next two in line watch a primary, later ones wait longer, and a claim seen during a survey ends it. A read that finds replicas behind waits without using up its attempts.

--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -37,6 +37,24 @@
   return placement->owner;
 }
 
+/// VMs of a service that watch its primary and may replace it: the owner and those next
+/// in line, in case the owner cannot reach the store.
+inline constexpr std::size_t watchers_per_service = 3;
+
+/// @return this VM's place in the order of owners of a service, 0 for the owner; nothing if
+///   it does not watch the service.
+[[nodiscard]] inline std::optional<std::size_t> watch_rank(const service_id& service,
+                                                           const entry_board& board, const vm_id& self) {
+  std::vector<vm_id> before;
+  while (before.size() < watchers_per_service) {
+    const auto next = next_owner(service, board.members, before);
+    if (!next) return std::nullopt;
+    if (*next == self) return before.size();
+    before.push_back(*next);
+  }
+  return std::nullopt;
+}
+
 struct entry_context {
   entry_context(entry_settings values, incarnation_id start, std::uint64_t seed)
       : settings(std::move(values)), incarnation(start), random(seed) {}
--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -1,9 +1,7 @@
 #include "entry/failover_adapter.h"
 
-#include <algorithm>
 #include <utility>
 
-#include "base/hash.h"
 #include "base/log.h"
 #include "platform/line_protocol.h"
 
@@ -29,22 +27,15 @@
   return controllers_.try_emplace(service, sql::failover_options{}).first->second;
 }
 
-std::size_t failover_adapter::rank_for(const service_id& service) const {
-  std::vector<vm_id> vms;
-  for (const auto& [vm, record] : context_.board.vms) vms.push_back(vm);
-  const auto order = rendezvous_choose(service.str(), vms, vms.size());
-  return static_cast<std::size_t>(std::find(order.begin(), order.end(), context_.settings.vm) -
-                                  order.begin());
-}
-
 void failover_adapter::on_tick() {
   const auto now = context_.loop.now();
   for (auto& [service, each] : surveys_) advance(service, each);
   for (const auto& [service, board] : context_.board.services) {
     if (!context_.board.environment || !context_.board.environment->services.contains(service)) continue;
+    const auto rank = watch_rank(service, context_.board, context_.settings.vm);
+    if (!rank) continue;
     auto& controller = controller_of(service);
-    perform(service,
-            controller.on_timer(board, rank_for(service), context_.board.is_target_list_trusted, now));
+    perform(service, controller.on_timer(board, *rank, context_.board.is_target_list_trusted, now));
   }
 }
 
@@ -65,12 +56,13 @@
   auto& each = surveys_[service];
   each = survey{};
   each.pending = action.targets;
+  each.is_active = true;
   each.started = context_.loop.now();
   advance(service, each);
 }
 
 void failover_adapter::advance(const service_id& service, survey& each) {
-  if (each.pending.empty() && each.running == 0) return;
+  if (!each.is_active) return;
   const auto now = context_.loop.now();
   const auto pending = each.pending;
   for (const auto& target : pending) ask(service, target);
@@ -110,7 +102,7 @@
 void failover_adapter::on_status(const service_id& service, const target_id& target,
                                  const platform::batch_result& result) {
   auto& each = surveys_[service];
-  if (each.running == 0) return;  // The survey is over.
+  if (!each.is_active || each.running == 0) return;  // The survey is over.
   --each.running;
   sql::survey_answer answer{target, std::nullopt, false};
   if (result.is_complete && !result.replies.front().rows.empty()) {
--- a/packages/entry/failover_adapter.h
+++ b/packages/entry/failover_adapter.h
@@ -29,11 +29,11 @@
     std::vector<target_id> pending;
     std::vector<sql::survey_answer> answers;
     std::size_t running = 0;
+    bool is_active = false;
     time_point started{};
   };
 
   [[nodiscard]] sql::failover_controller& controller_of(const service_id& service);
-  [[nodiscard]] std::size_t rank_for(const service_id& service) const;
   void perform(const service_id& service, const std::optional<sql::failover_action>& action);
   void run(const service_id& service, const sql::survey_targets& action);
   void run(const service_id& service, const sql::claim_promotion& action);
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -21,6 +21,9 @@
 // Pause after a target had no free slot.
 constexpr duration busy_pause = milliseconds{8};
 
+// Pause after a replica lacked the required point while no primary can serve.
+constexpr duration behind_pause = milliseconds{15};
+
 // A read whose answer does not come in this part of its latency objective is tried
 // elsewhere; the answer may be lost.
 constexpr int read_patience_percent = 75;
@@ -275,14 +278,17 @@
     return;
   }
   settle_connection(connection, verdict);
+  auto pause = error == target_error::busy ? busy_pause : duration::zero();
   if (error == target_error::behind) {
     auto& board = context_.board.services[connection->service];
     board.on_behind(connection->target, now);
     const auto* leader = board.primary();
     // The primary lacks a point of an earlier term that a promotion dropped.
     if (leader != nullptr && leader->info.target == connection->target) item->needs_primary = true;
+    // Waiting for a replica to catch up is bounded by the deadline alone.
+    --item->attempts;
+    if (leader == nullptr || leader->blocked_until > now) pause = behind_pause;
   }
-  const auto pause = error == target_error::busy ? busy_pause : duration::zero();
   if (!item->pinned.is_set() && retry(item, connection->target, pause)) return;
   if (error == target_error::malformed) {
     fail(item, caller_error::malformed, verdict.error_text);
--- a/packages/entry/statement_upkeep.cc
+++ b/packages/entry/statement_upkeep.cc
@@ -47,6 +47,8 @@
   const auto now = context_.loop.now();
   for (const auto& [service, board] : context_.board.services) {
     const auto* leader = board.primary();
+    note_primary(service, leader);
+    if (!watch_rank(service, context_.board, context_.settings.vm)) continue;
     if (leader == nullptr) {
       for (const auto& [id, entry] : board.targets()) probe(service, id);
       continue;
@@ -57,6 +59,14 @@
   }
 }
 
+void statement_runner::note_primary(const service_id& service, const sql::target_entry* leader) {
+  auto& known = primaries_[service];
+  const auto target = leader == nullptr ? target_id{} : leader->info.target;
+  if (known == target) return;
+  log_info("primary_changed", {{"service", service.str()}, {"from", known.str()}, {"to", target.str()}});
+  known = target;
+}
+
 void statement_runner::probe(const service_id& service, const target_id& target) {
   const auto now = context_.loop.now();
   auto& last = probed_[target];
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -84,6 +84,11 @@
 std::optional<failover_action> failover_controller::on_survey(const std::vector<survey_answer>& answers,
                                                               const service_board& board, time_point now) {
   if (step_ != step::surveying) return std::nullopt;
+  // Another VM was faster.
+  if (is_claim_pending(board, now)) {
+    enter(step::idle, now);
+    return std::nullopt;
+  }
   const survey_answer* best = nullptr;
   for (const auto& each : answers) {
     if (!each.received || !can_lead(board.find(each.target))) continue;
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -53,7 +53,7 @@
   /// Time without a known primary after which one is chosen.
   duration leaderless = std::chrono::milliseconds{800};
   /// Additional delay for each VM that ranks before this one, so that claims rarely race.
-  duration rank_delay = std::chrono::milliseconds{150};
+  duration rank_delay = std::chrono::milliseconds{400};
   /// Time that a claim of another VM has for its effect.
   duration claim_patience = std::chrono::milliseconds{2'500};
   /// Time for the effect of an own order before it is repeated with a new claim.
