Refuse what waits too long, open fewer connections, spend sooner after a restart

(1) Replicas far behind sent all reads to the primary; its queue held statements to their deadline and evicted connections of customers that were about to use them, so that half of its slots went to new connections, until the VM was restarted. A statement now waits for half of its latency objective at most, two connections open at a time, and none is taken from a customer that has no more than the other. (2) A restarted VM spent no rate for 3.3 s, the delay of a rise; its first share now waits only for the loans of the process before (0.26 s). (3) The owner kept a transaction whose session had given up for 3.5 s.

--- a/packages/entry/budget_port.cc
+++ b/packages/entry/budget_port.cc
@@ -17,6 +17,9 @@
   budget_options value;
   // The operators' bound for a configuration to be in force everywhere.
   value.dissemination_bound = std::chrono::seconds{3};
+  // Loans of the process before must have expired; the operators' tolerance covers the
+  // share of a new VM until the others have heard of it.
+  value.start_delay = value.outstanding_time();
   return value;
 }
 
--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -14,6 +14,9 @@
 // A target accepts a connection within one statement's time; a silent one costs this long.
 constexpr duration open_timeout = milliseconds{600};
 
+// Connections that are opened to one target at a time; each takes a slot meanwhile.
+constexpr std::size_t most_opening = 2;
+
 // Idle connections are closed before the platform closes them.
 constexpr duration idle_lifetime = seconds{40};
 
@@ -79,18 +82,29 @@
       }));
 }
 
-bool connection_pool::evict_idle(connection_list& connections) {
-  auto oldest = connections.end();
+bool connection_pool::evict_idle(connection_list& connections, std::size_t held) {
+  std::map<customer_id, std::size_t> counts;
+  for (const auto& each : connections) {
+    if (each->use != connection_use::pinned) ++counts[each->customer];
+  }
+  auto chosen = connections.end();
   for (auto it = connections.begin(); it != connections.end(); ++it) {
-    if ((*it)->use != connection_use::idle) continue;
-    if (oldest == connections.end() || (*it)->used < (*oldest)->used) oldest = it;
+    const auto& each = **it;
+    if (each.use != connection_use::idle) continue;
+    // A customer without any connection takes one from any other; else the richer give.
+    if (held > 0 && counts[each.customer] <= held + 1) continue;
+    const bool is_better =
+        chosen == connections.end() ||
+        std::pair{counts[each.customer], (*chosen)->used} > std::pair{counts[(*chosen)->customer], each.used};
+    if (is_better) chosen = it;
   }
-  if (oldest == connections.end()) return false;
-  remove(connection_ptr{*oldest});
+  if (chosen == connections.end()) return false;
+  remove(connection_ptr{*chosen});
   return true;
 }
 
-bool connection_pool::open(const service_id& service, const target_id& target, const customer_id& customer) {
+bool connection_pool::open(const service_id& service, const target_id& target, const customer_id& customer,
+                           std::size_t useful) {
   const auto board = context_.board.services.find(service);
   if (board == context_.board.services.end()) return false;
   const auto* entry = board->second.find(target);
@@ -105,7 +119,14 @@
     return false;
   }
   auto& connections = connections_[target];
-  if (connections.size() >= limit_of(service) && !evict_idle(connections)) return false;
+  std::size_t held = 0;
+  std::size_t opening = 0;
+  for (const auto& each : connections) {
+    if (each->use == connection_use::opening) ++opening;
+    if (each->customer == customer && each->use != connection_use::pinned) ++held;
+  }
+  if (held >= useful || opening >= most_opening) return false;
+  if (connections.size() >= limit_of(service) && !evict_idle(connections, held)) return false;
   auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
   connection->used = now;
   connection->give_up = now + open_timeout;
@@ -212,6 +233,13 @@
   std::erase_if(connections_, [](const auto& each) { return each.second.empty(); });
 }
 
+std::size_t connection_pool::count(const target_id& target, connection_use use) const {
+  const auto it = connections_.find(target);
+  if (it == connections_.end()) return 0;
+  return static_cast<std::size_t>(std::count_if(
+      it->second.begin(), it->second.end(), [&](const connection_ptr& each) { return each->use == use; }));
+}
+
 std::size_t connection_pool::count(const target_id& target) const {
   const auto it = connections_.find(target);
   return it == connections_.end() ? 0 : it->second.size();
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -54,9 +54,13 @@
   [[nodiscard]] connection_ptr find_any_idle(const target_id& target) const;
 
   /// Starts to open a connection if the limit allows; an idle connection of another
-  /// customer is closed for it where that is needed.
-  /// @return false if every connection to the target is in use.
-  bool open(const service_id& service, const target_id& target, const customer_id& customer);
+  /// customer is closed for it where that is needed. A connection costs the target a
+  /// slot's time, so few are opened at once and none is taken from a customer that has
+  /// no more than this one.
+  /// @param useful connections outside of transactions that the customer can use at once.
+  /// @return false if none is opened.
+  bool open(const service_id& service, const target_id& target, const customer_id& customer,
+            std::size_t useful = 1);
 
   /// @return connections to the target that are being opened for the customer.
   [[nodiscard]] std::size_t opening(const target_id& target, const customer_id& customer) const;
@@ -71,6 +75,8 @@
   /// have been idle for long or whose target left.
   void on_tick();
 
+  /// @return connections to the target in one use.
+  [[nodiscard]] std::size_t count(const target_id& target, connection_use use) const;
   /// @return connections to the target in any use.
   [[nodiscard]] std::size_t count(const target_id& target) const;
 
@@ -78,7 +84,7 @@
   using connection_list = std::list<connection_ptr>;
 
   [[nodiscard]] std::size_t limit_of(const service_id& service) const;
-  bool evict_idle(connection_list& connections);
+  bool evict_idle(connection_list& connections, std::size_t held);
   void on_opened(const connection_ptr& connection, std::optional<sql::target_error> failure);
   void remove(const connection_ptr& connection);
   void close_unlisted();
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -184,7 +184,18 @@
     (*item)->pinned.connection = open->second.connection;
     open->second.is_running = true;
   }
-  (*item)->done = [this, number, sender, respond](const work_result& value) {
+  (*item)->done = [this, number, sender, respond, deadline = (*item)->deadline](const work_result& value) {
+    const bool is_late = context_.loop.now() > deadline + reply_allowance;
+    if (is_late && value.transaction.connection) {
+      // The session has given the transaction up.
+      runner_.roll_back(value.transaction.connection, sql::statement{});
+      auto late = value;
+      late.error = caller_error::aborted;
+      late.reason = "too late";
+      late.transaction = {};
+      reply_to_peer(number, sender, late, respond);
+      return;
+    }
     reply_to_peer(number, sender, value, respond);
   };
   runner_.run(*item);
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -18,6 +18,11 @@
 // Attempts of one statement, the first included.
 constexpr std::uint32_t most_attempts = 6;
 
+// Part of its latency objective that a statement waits for a slot. When more work comes
+// than the slots take, those that are served are served in time, and the others hear at
+// once that they did not run.
+constexpr int queue_patience_percent = 50;
+
 // Pause after a target had no free slot.
 constexpr duration busy_pause = milliseconds{8};
 
@@ -46,6 +51,8 @@
     start(item, item->pinned.connection, std::nullopt);
     return;
   }
+  const auto patience = item->route->latency_objective * queue_patience_percent / 100;
+  item->wait_end = std::min(item->deadline, item->arrived + patience);
   enqueue(item);
   pump(item->route->service);
 }
@@ -129,7 +136,9 @@
       items.begin(), items.end(), [&](const work_ptr& each) { return each->customer == item->customer; }));
   for (const auto& target : candidates) {
     if (pool_.opening(target, item->customer) >= wanted) return;
-    if (pool_.open(service, target, item->customer)) return;
+    const auto* entry = context_.board.services[service].find(target);
+    const std::size_t useful = entry == nullptr ? 1 : entry->info.slots + extra_running;
+    if (pool_.open(service, target, item->customer, useful)) return;
   }
 }
 
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -72,6 +72,8 @@
   void finish(const work_ptr& item, work_result result);
   void expire();
   void probe_services();
+  /// Logs what a service's waiting statements wait for.
+  void report_load();
   void note_primary(const service_id& service, const sql::target_entry* leader);
   void probe(const service_id& service, const target_id& target);
 
@@ -79,6 +81,7 @@
   connection_pool pool_;
   std::map<service_id, queue> waiting_;
   std::map<target_id, time_point> probed_;
+  time_point load_reported_{};
   std::map<service_id, target_id> primaries_;  ///< As last logged; empty for none.
   bool is_pumping_ = false;
 };
--- a/packages/entry/statement_upkeep.cc
+++ b/packages/entry/statement_upkeep.cc
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+constexpr duration load_report_interval = std::chrono::seconds{1};
+
 constexpr duration probe_timeout = milliseconds{400};
 constexpr duration probe_interval = milliseconds{200};
 // A freshness sample older than this is renewed.
@@ -24,6 +26,27 @@
   expire();
   probe_services();
   pump_all();
+  report_load();
+}
+
+void statement_runner::report_load() {
+  const auto now = context_.loop.now();
+  if (now - load_reported_ < load_report_interval) return;
+  load_reported_ = now;
+  for (const auto& [service, items] : waiting_) {
+    if (items.empty()) continue;
+    for (const auto& [id, entry] : context_.board.services[service].targets()) {
+      log_info("target_load", {{"service", service.str()},
+                               {"target", id.str()},
+                               {"waiting", std::uint64_t{items.size()}},
+                               {"oldest_ms", now - items.front()->arrived},
+                               {"running", std::uint64_t{entry.running}},
+                               {"idle", std::uint64_t{pool_.count(id, connection_use::idle)}},
+                               {"busy", std::uint64_t{pool_.count(id, connection_use::busy)}},
+                               {"pinned", std::uint64_t{pool_.count(id, connection_use::pinned)}},
+                               {"opening", std::uint64_t{pool_.count(id, connection_use::opening)}}});
+    }
+  }
 }
 
 void statement_runner::expire() {
@@ -31,7 +54,7 @@
   std::vector<work_ptr> expired;
   for (auto& [service, items] : waiting_) {
     items.remove_if([&](const work_ptr& each) {
-      if (each->deadline > now) return false;
+      if (each->wait_end > now) return false;
       expired.push_back(each);
       return true;
     });
@@ -39,7 +62,7 @@
   // A waiting statement has not run, or ran without a lasting effect.
   for (const auto& each : expired) {
     fail(each, each->is_in_transaction() ? sql::caller_error::aborted : sql::caller_error::busy,
-         "no connection became free in time");
+         "no free slot in time");
   }
 }
 
--- a/packages/limits/home_bucket.cc
+++ b/packages/limits/home_bucket.cc
@@ -14,7 +14,9 @@
 home_bucket::home_bucket(const budget_options& options, const budget_test_faults& faults)
     : outstanding_time_(options.outstanding_time()),
       faults_(faults),
-      history_(faults.raises_at_once ? duration::zero() : options.raise_delay()) {}
+      history_(
+          faults.raises_at_once ? duration::zero() : options.raise_delay(),
+          faults.raises_at_once ? duration::zero() : options.start_delay.value_or(options.raise_delay())) {}
 
 void home_bucket::set_share(const budget_share& share, time_point now) {
   if (is_new_) accrued_until_ = now;
--- a/packages/limits/loan.h
+++ b/packages/limits/loan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -30,6 +31,10 @@
   duration demand_window = std::chrono::milliseconds{100};
   /// Longest time from the first VM that receives a document to the last one.
   duration dissemination_bound = std::chrono::seconds{7};
+  /// Delay of the first share of a process; as long as that of any other rise if not set.
+  /// A shorter one lets a restarted VM spend sooner; until the others have heard of a new
+  /// VM, the customer's rate is exceeded by that VM's share.
+  std::optional<duration> start_delay = std::nullopt;
   /// A home VM that has not answered for this long is asked again later.
   duration answer_timeout = std::chrono::milliseconds{10};
   /// First pause before asking a home VM that had too little or did not answer;
--- a/packages/limits/share_history.h
+++ b/packages/limits/share_history.h
@@ -15,12 +15,16 @@
 /// moment of the last `delay`. Before the first document the share is nothing.
 class share_history {
  public:
-  explicit share_history(duration delay) : delay_(delay) {}
+  /// @param first_delay delay of the first document.
+  share_history(duration delay, duration first_delay) : delay_(delay), first_delay_(first_delay) {}
 
   /// Takes the share of a newer document.
   void push(const budget_share& share, time_point now) {
     if (shares_.back().share == share) return;
-    shares_.back().superseded = now;
+    const bool is_first = shares_.size() == 1 && shares_.back().share == budget_share{} && !has_document_;
+    has_document_ = true;
+    // An earlier time ends the share's effect that much sooner.
+    shares_.back().superseded = is_first ? now - delay_ + first_delay_ : now;
     shares_.push_back({share, std::nullopt});
   }
 
@@ -45,6 +49,8 @@
   };
 
   duration delay_;
+  duration first_delay_;
+  bool has_document_ = false;
   std::deque<dated_share> shares_{{{}, std::nullopt}};
 };
 
