--- /dev/null
+++ b/packages/entry/entry_settings_test.cc
@@ -0,0 +1,35 @@
+#include "entry/entry_settings.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+namespace bulrushlift::entry {
+namespace {
+
+std::string settings_text(const std::string& vm = R"("vm": "entry-1")") {
+  return "{\n  // one proxy\n  " + vm + R"(, "data_centre": "thies", "caller_listen": "10.0.0.1:1",
+    "readiness_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3", "metrics_listen": "10.0.0.1:4",
+    "store": "10.0.0.9:5", "promotions": "10.0.0.9:6", "drain_seconds": 6, "log_level": "warning"})";
+}
+
+TEST_CASE("Settings with comments are read") {
+  const auto parsed = parse_entry_settings(settings_text());
+  REQUIRE(parsed);
+  CHECK(parsed->vm == vm_id{"entry-1"});
+  CHECK(parsed->store == net_address{"10.0.0.9", 5});
+  CHECK(parsed->drain_time == std::chrono::seconds{6});
+  CHECK(parsed->level == log_level::warning);
+}
+
+TEST_CASE("Wrong settings name the field") {
+  const auto missing = parse_entry_settings(settings_text(R"("other": 1)"));
+  REQUIRE_FALSE(missing);
+  CHECK(missing.error().message == "vm: is missing");
+  const auto empty = parse_entry_settings(settings_text(R"("vm": "")"));
+  REQUIRE_FALSE(empty);
+  CHECK(empty.error().message == "vm: is not a text");
+  CHECK_FALSE(parse_entry_settings("{"));
+}
+
+}  // namespace
+}  // namespace bulrushlift::entry
--- /dev/null
+++ b/packages/entry/session_world_fake.cc
@@ -0,0 +1,143 @@
+#include "entry/session_world_fake.h"
+
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace bulrushlift::entry {
+namespace {
+
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+// Bound of waits for events; no verdict depends on how long an event takes below it.
+constexpr auto event_bound = 60s;
+constexpr auto loop_step = 5ms;
+
+}  // namespace
+
+test_caller::test_caller(event_loop& loop, const net_address& address) : loop_(loop), stream_(loop, *this) {
+  stream_.connect(address);
+}
+
+std::vector<std::string> test_caller::ask(const std::string& line) {
+  stream_.write(line + "\r\n");
+  const auto end = loop_.now() + event_bound;
+  std::vector<std::string> lines;
+  while (true) {
+    const auto at = input_.find("\r\n");
+    if (at == std::string::npos) {
+      if (is_closed_) return lines;
+      if (loop_.now() > end) FAIL("no answer to " + line);
+      loop_.run_for(loop_step);
+      continue;
+    }
+    lines.push_back(input_.substr(0, at));
+    input_.erase(0, at + 2);
+    if (lines.back().starts_with("READY")) return lines;
+  }
+}
+
+std::string test_caller::ask_joined(const std::string& line) {
+  std::string joined;
+  for (const auto& each : ask(line)) joined += (joined.empty() ? "" : "|") + each;
+  return joined;
+}
+
+session_world::session_world(const std::string& name, std::size_t vms)
+    : folder_(std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name) {
+  std::filesystem::remove_all(folder_);
+  std::filesystem::create_directories(folder_);
+  platform = std::make_unique<session_platform>(loop, [this](const ordered_promotion& order) {
+    database->promote(order.target);
+    for (const auto& member : database->members()) announce(member, "ready");
+  });
+  database =
+      std::make_unique<session_database>(loop, "ledger", std::vector<std::string>{"i-a", "i-b", "i-c"});
+  for (const auto& member : database->members()) announce(member, "ready");
+  publish(1, {"key-shop"});
+  const auto ports = free_ports(vms * 4);
+  if (!ports) FAIL(ports.error().message);
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    ports_.push_back({(*ports)[vm * 4], (*ports)[vm * 4 + 1], (*ports)[vm * 4 + 2], (*ports)[vm * 4 + 3]});
+  }
+  for (std::size_t vm = 0; vm < vms; ++vm) start_vm(vm);
+}
+
+void session_world::announce(const std::string& target, const std::string& state) {
+  platform->put("servers", target,
+                {{"service", "ledger"},
+                 {"address", database->address_of(target)},
+                 {"zone", target == "i-b" ? "north" : "south"},
+                 {"version", "v1"},
+                 {"slots", 2},
+                 {"state", state},
+                 {"databaseRole", target == database->primary() ? "primary" : "replica"},
+                 {"sequence", 1},
+                 {"born", 1}});
+}
+
+void session_world::publish(std::uint64_t version, const std::vector<std::string>& shop_keys) {
+  const auto route = [](const char* name, const char* kind) {
+    return json{{"name", name},      {"host", name},           {"kind", kind},
+                {"timeoutMs", 5000}, {"priority", 1},          {"targetLatencyMs", 4000},
+                {"public", false},   {"maxStalenessMs", 2000}, {"service", "ledger"}};
+  };
+  platform->put(
+      "config", "main",
+      {{"version", version},
+       {"routes", {route("orders", "primary"), route("stock", "bounded"), route("book", "read_your_writes")}},
+       {"services", {{{"name", "ledger"}, {"connectionLimit", 16}, {"syncReplicas", 0}}}},
+       {"limits", {{"transactionIdleMs", 30000}}},
+       {"tenants",
+        {{{"name", "shop"}, {"accessKeys", shop_keys}, {"ratePerS", 10000}, {"burst", 10000}},
+         {{"name", "other"}, {"accessKeys", {"key-other"}}, {"ratePerS", 10000}, {"burst", 10000}}}}});
+}
+
+void session_world::start_vm(std::size_t vm) {
+  const auto& ports = ports_.at(vm);
+  const auto address = [](std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); };
+  const auto path = fmt::format("{}/entry-{}.jsonc", folder_, vm);
+  std::ofstream{path} << json{
+      {"vm", fmt::format("entry-{}", vm)},
+      {"data_centre", vm == 0 ? "north" : "south"},
+      {"caller_listen", address(ports.callers)},
+      {"readiness_listen", address(ports.readiness)},
+      {"peer_listen", address(ports.peers)},
+      {"metrics_listen", address(ports.metrics)},
+      {"store", platform->address()},
+      {"promotions", platform->address()},
+      {"drain_seconds", 6}}.dump();
+  auto started =
+      child_process::start({BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--entry", "--settings", path},
+                           fmt::format("{}/entry-{}.log", folder_, vm));
+  if (!started) FAIL(started.error().message);
+  processes_.insert_or_assign(vm, std::move(*started));
+}
+
+void session_world::await(const std::string& what, const std::function<bool()>& condition) {
+  const auto end = loop.now() + event_bound;
+  while (!condition()) {
+    if (loop.now() > end) FAIL("no " + what);
+    loop.run_for(loop_step);
+  }
+}
+
+std::unique_ptr<test_caller> session_world::connect(std::size_t vm) {
+  return std::make_unique<test_caller>(loop, net_address{"127.0.0.1", ports_.at(vm).callers});
+}
+
+std::unique_ptr<test_caller> session_world::session(std::size_t vm, const std::string& name) {
+  std::unique_ptr<test_caller> caller;
+  await("session", [&] {
+    caller = connect(vm);
+    const auto answer = caller->ask_joined("START " + name + " key-shop");
+    return answer == "READY I -" && caller->ask_joined("QUERY probe READ probe").starts_with("ROW");
+  });
+  return caller;
+}
+
+}  // namespace bulrushlift::entry
--- /dev/null
+++ b/packages/entry/session_world_fake.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/tcp_stream.h"
+#include "standins/child_process.h"
+#include "standins/session_database.h"
+#include "standins/session_platform.h"
+
+/// @file
+/// A small deployment for tests over real processes: the stand-ins for platform and
+/// database run in the test's event loop, the proxies are processes of their own.
+
+namespace bulrushlift::entry {
+
+/// A caller of one proxy.
+class test_caller : private tcp_stream_observer {
+ public:
+  test_caller(event_loop& loop, const net_address& address);
+
+  /// Sends one line and waits for the answer: up to READY, or the end of the connection.
+  /// @return the lines, without their ends.
+  std::vector<std::string> ask(const std::string& line);
+  /// @return the answer's lines joined by "|".
+  std::string ask_joined(const std::string& line);
+  [[nodiscard]] bool is_closed() const noexcept { return is_closed_; }
+
+ private:
+  void on_bytes(std::string_view bytes) override { input_ += bytes; }
+  void on_closed(const error& /*reason*/) override { is_closed_ = true; }
+
+  event_loop& loop_;
+  tcp_stream stream_;
+  std::string input_;
+  bool is_closed_ = false;
+};
+
+class session_world {
+ public:
+  /// @param name of the folder for settings and logs.
+  session_world(const std::string& name, std::size_t vms);
+
+  event_loop loop;
+  std::unique_ptr<session_platform> platform;
+  std::unique_ptr<session_database> database;
+
+  /// Runs the loop until the condition holds; fails the test if it does not for a long time.
+  void await(const std::string& what, const std::function<bool()>& condition);
+
+  [[nodiscard]] std::unique_ptr<test_caller> connect(std::size_t vm);
+  [[nodiscard]] child_process& process(std::size_t vm) { return processes_.at(vm); }
+  void start_vm(std::size_t vm);
+  /// Writes the configuration; keys are those of the customers "shop" and "other".
+  void publish(std::uint64_t version, const std::vector<std::string>& shop_keys);
+  void announce(const std::string& target, const std::string& state);
+  /// Opens a session that is served by the VM.
+  [[nodiscard]] std::unique_ptr<test_caller> session(std::size_t vm, const std::string& name);
+
+ private:
+  struct vm_ports {
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t peers = 0;
+    std::uint16_t metrics = 0;
+  };
+
+  std::string folder_;
+  std::vector<vm_ports> ports_;
+  std::map<std::size_t, child_process> processes_;
+};
+
+}  // namespace bulrushlift::entry
--- /dev/null
+++ b/packages/limits/home_bucket_test.cc
@@ -0,0 +1,50 @@
+#include "limits/home_bucket.h"
+
+#include <catch2/catch.hpp>
+
+namespace bulrushlift {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point start{seconds{100}};
+const budget_share share{whole_tokens(10), whole_tokens(10)};
+
+millitokens level_after(const budget_options& options, duration span) {
+  home_bucket bucket{options, {}};
+  bucket.set_share(share, start);
+  bucket.settle(start + span);
+  return bucket.level();
+}
+
+TEST_CASE("The first share of a process waits as long as any rise") {
+  const budget_options options;
+
+  CHECK(level_after(options, seconds{7}) == millitokens{});
+  CHECK(level_after(options, seconds{9}) > millitokens{});
+}
+
+// Guards against seconds of refusals after all VMs were restarted.
+TEST_CASE("With a start delay the first share counts as soon as older loans are over") {
+  budget_options options;
+  options.start_delay = options.outstanding_time();
+
+  CHECK(level_after(options, milliseconds{250}) == millitokens{});
+  CHECK(level_after(options, seconds{1}) > whole_tokens(6));
+}
+
+TEST_CASE("A later rise still waits after a start delay") {
+  budget_options options;
+  options.start_delay = options.outstanding_time();
+  home_bucket bucket{options, {}};
+  bucket.set_share({whole_tokens(1), whole_tokens(1)}, start);
+  bucket.settle(start + seconds{3});
+  bucket.set_share(share, start + seconds{3});
+  bucket.settle(start + seconds{6});
+
+  CHECK(bucket.level() <= whole_tokens(1));
+}
+
+}  // namespace
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/platform/documents_test.cc
@@ -0,0 +1,75 @@
+#include "platform/documents.h"
+
+#include <catch2/catch.hpp>
+
+namespace bulrushlift::platform {
+namespace {
+
+using nlohmann::json;
+
+json environment() {
+  return json::parse(R"({"version":7,"routes":[
+      {"name":"r-1","host":"orders","kind":"bounded","timeoutMs":1500,"targetLatencyMs":400,"priority":2,
+       "service":"s1","attempts":2,"maxStalenessMs":1500,"public":false}],
+    "services":[{"name":"s1","connectionLimit":16,"syncReplicas":0}],
+    "limits":{"headerBytes":16384,"transactionIdleMs":2500},
+    "tenants":[{"name":"c1","accessKeys":["k1","k2"],"priority":1,"ratePerS":121,"burst":60.5}]})");
+}
+
+stored_object target(const char* text) { return {"i-1", object_version{3}, json::parse(text)}; }
+
+TEST_CASE("A configuration becomes an environment") {
+  const auto decoded = decode_environment(environment());
+  REQUIRE(decoded);
+  CHECK(decoded->generation == generation_id{7});
+  const auto* route = decoded->find_database("orders");
+  REQUIRE(route != nullptr);
+  CHECK(route->service == service_id{"s1"});
+  CHECK(route->level == sql::consistency::bounded_staleness);
+  CHECK(route->max_staleness == std::chrono::milliseconds{1'500});
+  CHECK(decoded->customer_of_key("k2") == customer_id{"c1"});
+  CHECK_FALSE(decoded->customer_of_key("k3"));
+  CHECK(decoded->services.at(service_id{"s1"}).connection_limit == 16);
+  CHECK(decoded->transaction_idle_limit == std::chrono::milliseconds{2'500});
+}
+
+TEST_CASE("A configuration without a needed field names it") {
+  auto content = environment();
+  content["routes"][0].erase("timeoutMs");
+  const auto decoded = decode_environment(content);
+  REQUIRE_FALSE(decoded);
+  CHECK(decoded.error().message == "routes[].timeoutMs is missing or malformed");
+}
+
+TEST_CASE("A target's announcement is decoded") {
+  const auto decoded = decode_target(target(
+      R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,"state":"draining",
+          "coldRemainingMs":0,"databaseRole":"primary","sequence":4,"born":17})"));
+  REQUIRE(decoded);
+  CHECK(decoded->target == target_id{"i-1"});
+  CHECK(decoded->is_leaving);
+  CHECK(decoded->is_primary);
+  CHECK(decoded->start == 17);
+}
+
+// Guards against entries of other writers that would be used as targets.
+TEST_CASE("An announcement that is not a target's is refused") {
+  for (const auto* text :
+       {"null", "[]", "{}", R"({"service":1,"address":"a","zone":"z","state":"ready"})",
+        R"({"service":"s","address":"a","zone":"z","state":"resting"})",
+        R"({"service":"s","address":"a","zone":"z","state":"ready","databaseRole":"judge"})",
+        R"({"service":"s","address":"a","zone":"z","state":"ready","slots":-1})"}) {
+    CAPTURE(text);
+    CHECK_FALSE(decode_target(target(text)));
+  }
+}
+
+TEST_CASE("The records of this product come back as they were written") {
+  const vm_record vm{vm_id{"entry-1"}, "10.0.0.1:7", data_centre_id{"north"}, incarnation_id{5}};
+  CHECK(*decode_vm({"entry-1", object_version{1}, encode_vm(vm)}) == vm);
+  const promotion_record promotion{service_id{"s1"}, target_id{"i-1"}, vm_id{"entry-1"}};
+  CHECK(*decode_promotion({"s1", object_version{1}, encode_promotion(promotion)}) == promotion);
+}
+
+}  // namespace
+}  // namespace bulrushlift::platform
--- /dev/null
+++ b/packages/platform/line_protocol_test.cc
@@ -0,0 +1,153 @@
+#include "platform/line_protocol.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/line_reader.h"
+
+namespace bulrushlift::platform {
+namespace {
+
+using sql::statement_kind;
+
+sql::statement statement_in(std::string_view line) {
+  const auto message = decode_caller_line(line);
+  const auto* run = std::get_if<run_statement>(&message);
+  REQUIRE(run != nullptr);
+  return run->statement;
+}
+
+template <class Message>
+bool is_message(std::string_view line) {
+  return std::holds_alternative<Message>(decode_caller_line(line));
+}
+
+std::string encoded(const sql::target_command& command) {
+  std::string line;
+  append_command(line, command);
+  return line;
+}
+
+TEST_CASE("A caller opens a session with database and key") {
+  const auto message = decode_caller_line("START lepu270 u3f1");
+  const auto* open = std::get_if<open_session>(&message);
+  REQUIRE(open != nullptr);
+  CHECK(open->database == "lepu270");
+  CHECK(open->key == "u3f1");
+}
+
+TEST_CASE("Statements keep their id and text") {
+  const auto read = statement_in("QUERY 5c0e READ 1a4");
+  CHECK(read.id == "5c0e");
+  CHECK(read.kind == statement_kind::read);
+  CHECK(read.text == "READ 1a4");
+  CHECK(statement_in("QUERY 1 WRITE 1a4 some data").text == "WRITE 1a4 some data");
+  CHECK(statement_in("QUERY 1 BEGIN").kind == statement_kind::begin);
+  CHECK(statement_in("QUERY 1 BEGIN READ").kind == statement_kind::begin_read_only);
+  CHECK(statement_in("QUERY 1 COMMIT").kind == statement_kind::commit);
+  CHECK(statement_in("QUERY 1 ROLLBACK").kind == statement_kind::rollback);
+}
+
+TEST_CASE("Values and prepared statements are taken apart") {
+  const auto value = statement_in("QUERY 1 SET zone north east");
+  CHECK(value.name == "zone");
+  CHECK(value.argument == "north east");
+  const auto prepared = statement_in("QUERY 1 PREPARE s1 WRITE q2c");
+  CHECK(prepared.name == "s1");
+  CHECK(prepared.definition == sql::prepared_statement{true, "q2c"});
+  const auto executed = statement_in("QUERY 1 EXECUTE s1 1a4 xkq pw");
+  CHECK(executed.name == "s1");
+  CHECK(executed.argument == "1a4 xkq pw");
+  CHECK(statement_in("QUERY 1 DEALLOCATE s1").kind == statement_kind::deallocate);
+}
+
+// Guards against statements of the proxy itself, or target commands, that a caller smuggles in.
+TEST_CASE("What is no statement of a caller is refused under its id") {
+  for (const auto* line : {"QUERY 1 STATUS", "QUERY 1 RESET", "QUERY 1 AFTER 1.2 READ a", "QUERY 1 PAUSE 4",
+                           "QUERY 1 BEGIN WRITE", "QUERY 1 READ", "QUERY 1 PREPARE s", "QUERY 1 EXECUTE s",
+                           "QUERY 1 COMMIT now", "QUERY 1 read a", "QUERY 1 ", "QUERY - READ a"}) {
+    CAPTURE(line);
+    CHECK(is_message<bad_statement>(line));
+  }
+  for (const auto* line : {"", "HELLO", "QUERY", "START", "query 1 READ a"}) {
+    CAPTURE(line);
+    CHECK(is_message<bad_message>(line));
+  }
+  CHECK(is_message<close_session>("CLOSE"));
+}
+
+TEST_CASE("Answers to callers have the platform's form") {
+  std::string out;
+  append_row(out, "qhz kw");
+  append_complete(out, "");
+  append_error(out, sql::caller_error::outcome_unknown, "lost");
+  append_ready(out, sql::transaction_state::failed, log_point{term_id{3}, log_position{12}});
+  append_ready(out, sql::transaction_state::none, std::nullopt);
+
+  CHECK(out == "ROW qhz kw\r\nCOMPLETE -\r\nERROR INDOUBT lost\r\nREADY E 3.12\r\nREADY I -\r\n");
+}
+
+TEST_CASE("Commands to targets have the platform's form") {
+  sql::target_command read{sql::command_kind::forward};
+  read.id = "5c0e";
+  read.text = "READ 1a4";
+  read.after = log_point{term_id{3}, log_position{1207}};
+  CHECK(encoded(read) == "QUERY 5c0e AFTER 3.1207 READ 1a4\r\n");
+
+  sql::target_command executed{sql::command_kind::execute};
+  executed.id = "5c0e";
+  executed.name = "p1";
+  executed.text = "1a4 xk";
+  CHECK(encoded(executed) == "QUERY 5c0e EXECUTE p1 1a4 xk\r\n");
+
+  sql::target_command prepared{sql::command_kind::prepare};
+  prepared.name = "p1";
+  prepared.definition = {true, "q2c"};
+  CHECK(encoded(prepared) == "QUERY - PREPARE p1 WRITE q2c\r\n");
+  CHECK(encoded({sql::command_kind::begin}) == "QUERY - BEGIN\r\n");
+  CHECK(encode_target_start(service_id{"huvo"}, customer_id{"nypu"}, target_id{"i-7f"}) ==
+        "START huvo nypu i-7f\r\n");
+}
+
+TEST_CASE("Replies of targets are decoded once") {
+  const auto failure = decode_target_line("ERROR READONLY i-7f3a");
+  REQUIRE(std::holds_alternative<target_failure>(failure));
+  CHECK(std::get<target_failure>(failure).kind == sql::target_error::read_only);
+  const auto unknown = decode_target_line("ERROR NEWCODE x");
+  CHECK(std::get<target_failure>(unknown).kind == sql::target_error::other);
+  const auto ready = decode_target_line("READY T 3.1209");
+  CHECK(std::get<target_ready>(ready).state == sql::transaction_state::open);
+  CHECK(std::get<target_ready>(ready).point == log_point{term_id{3}, log_position{1209}});
+  CHECK_FALSE(std::get<target_ready>(decode_target_line("READY I -")).point);
+  CHECK(std::holds_alternative<target_garbage>(decode_target_line("HELLO")));
+}
+
+TEST_CASE("A status row gives role, term and received point") {
+  const auto status = decode_status("replica 3 3.1209 0 12 2 17");
+  REQUIRE(status);
+  CHECK_FALSE(status->is_primary);
+  CHECK(status->term == term_id{3});
+  CHECK(status->received == log_point{term_id{3}, log_position{1209}});
+  CHECK_FALSE(decode_status("replica x"));
+}
+
+TEST_CASE("Lines are found whatever the pieces in which they arrive") {
+  line_reader reader;
+  std::vector<std::string> lines;
+  const auto collect = [&](std::string_view line) {
+    lines.emplace_back(line);
+    return true;
+  };
+  CHECK(reader.feed("STA", 100, collect));
+  CHECK(reader.feed("RT a b\r", 100, collect));
+  CHECK(reader.feed("\nCLOSE\nQU", 100, collect));
+  CHECK(lines == std::vector<std::string>{"START a b", "CLOSE"});
+  CHECK(reader.is_inside_line());
+}
+
+TEST_CASE("A line beyond the limit is refused before its end") {
+  line_reader reader;
+  CHECK_FALSE(reader.feed(std::string(101, 'x'), 100, [](std::string_view) { return true; }));
+}
+
+}  // namespace
+}  // namespace bulrushlift::platform
--- /dev/null
+++ b/packages/sql/service_board_test.cc
@@ -0,0 +1,123 @@
+#include "sql/service_board.h"
+
+#include <catch2/catch.hpp>
+
+namespace bulrushlift::sql {
+namespace {
+
+using std::chrono::milliseconds;
+
+const time_point start{std::chrono::seconds{100}};
+const target_id first{"t1"};
+const target_id second{"t2"};
+const target_id third{"t3"};
+
+log_point point(std::uint64_t term, std::uint64_t position) {
+  return {term_id{term}, log_position{position}};
+}
+
+target_announcement announcement(const target_id& target, const char* data_centre, bool is_primary) {
+  target_announcement info;
+  info.target = target;
+  info.service = service_id{"orders"};
+  info.address = "10.0.0.1:1";
+  info.data_centre = data_centre_id{data_centre};
+  info.slots = 2;
+  info.is_primary = is_primary;
+  info.start = 1;
+  return info;
+}
+
+service_board board_of_three() {
+  service_board board;
+  board.announce(announcement(first, "north", true), start);
+  board.announce(announcement(second, "south", false), start);
+  board.announce(announcement(third, "east", false), start);
+  return board;
+}
+
+target_request read_at(std::uint64_t position, const char* near) {
+  return {point(1, position), data_centre_id{near}};
+}
+
+TEST_CASE("A statement for the primary has the primary as its only candidate") {
+  const auto board = board_of_three();
+
+  CHECK(board.candidates({std::nullopt, data_centre_id{"south"}}, start) == std::vector<target_id>{first});
+}
+
+// Load pattern: many small reads over few slots.
+TEST_CASE("Reads prefer the replica of their data centre and spare the primary") {
+  const auto board = board_of_three();
+
+  CHECK(board.candidates(read_at(1, "south"), start) == std::vector<target_id>{second, third, first});
+}
+
+TEST_CASE("A loaded replica comes after an idle one elsewhere") {
+  auto board = board_of_three();
+  board.on_started(second);
+
+  CHECK(board.candidates(read_at(1, "south"), start).front() == third);
+  board.on_finished(second);
+  CHECK(board.candidates(read_at(1, "south"), start).front() == second);
+}
+
+TEST_CASE("A replica that was behind is left alone for a moment") {
+  auto board = board_of_three();
+  board.on_behind(second, start);
+
+  CHECK(board.candidates(read_at(5, "south"), start) == std::vector<target_id>{third, first});
+  CHECK(board.candidates(read_at(5, "south"), start + milliseconds{80}).front() == second);
+}
+
+// Guards against new work on a target that is about to exit.
+TEST_CASE("A leaving target gets no reads") {
+  auto board = board_of_three();
+  auto leaving = announcement(second, "south", false);
+  leaving.is_leaving = true;
+  board.announce(leaving, start);
+
+  CHECK(board.candidates(read_at(1, "south"), start) == std::vector<target_id>{third, first});
+}
+
+TEST_CASE("A failed target is blocked and comes back with its first answer") {
+  auto board = board_of_three();
+  board.on_failure(first, start);
+  CHECK(board.candidates({std::nullopt, data_centre_id{}}, start).empty());
+
+  board.on_answer(first, std::nullopt, start);
+  CHECK_FALSE(board.candidates({std::nullopt, data_centre_id{}}, start).empty());
+}
+
+TEST_CASE("A target that refuses writes is not the primary any more") {
+  auto board = board_of_three();
+  board.on_read_only(first, start);
+
+  CHECK(board.primary() == nullptr);
+  CHECK(board.leaderless_since() == start);
+  board.on_primary_answer(second, point(2, 1), start, start);
+  CHECK(board.primary()->info.target == second);
+  CHECK_FALSE(board.leaderless_since());
+}
+
+// Guards against the history of a process being taken for that of its successor.
+TEST_CASE("Another process with the same id starts without history") {
+  auto board = board_of_three();
+  board.on_answer(second, point(1, 90), start);
+  auto successor = announcement(second, "south", false);
+  successor.start = 2;
+  board.announce(successor, start + milliseconds{1});
+
+  CHECK_FALSE(board.find(second)->point);
+}
+
+TEST_CASE("A primary that disappears leaves the service without one") {
+  auto board = board_of_three();
+  board.remove(first, start + milliseconds{5});
+
+  CHECK(board.primary() == nullptr);
+  CHECK(board.leaderless_since() == start + milliseconds{5});
+}
+
+}  // namespace
+}  // namespace bulrushlift::sql
--- /dev/null
+++ b/packages/standins/session_database.cc
@@ -0,0 +1,264 @@
+#include "standins/session_database.h"
+
+#include <fmt/format.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace bulrushlift {
+namespace {
+
+std::string take_word(std::string_view& rest) {
+  const auto end = rest.find(' ');
+  std::string word{rest.substr(0, end)};
+  rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+  return word;
+}
+
+std::string complete(std::string_view signature) { return fmt::format("COMPLETE {}\r\n", signature); }
+std::string failure(std::string_view code) { return fmt::format("ERROR {} stand-in\r\n", code); }
+
+}  // namespace
+
+struct session_database::member_state {
+  std::string id;
+  net_address address;
+  std::uint64_t term = 1;
+  std::uint64_t position = 1;
+  std::map<std::string, std::string> data;
+  std::unique_ptr<tcp_listener> listener;
+};
+
+struct session_database::connection : public tcp_stream_observer {
+  connection(session_database& owner, member_state& of, std::uint64_t number)
+      : database(owner), member(of), id(number), stream(owner.loop_, *this) {}
+
+  void on_bytes(std::string_view bytes) override {
+    input += bytes;
+    for (auto end = input.find("\r\n"); end != std::string::npos; end = input.find("\r\n")) {
+      const auto line = input.substr(0, end);
+      input.erase(0, end + 2);
+      database.on_line(*this, line);
+      if (!stream.is_open()) return;
+    }
+  }
+  void on_closed(const error& /*reason*/) override { database.close(*this); }
+
+  session_database& database;
+  member_state& member;
+  std::uint64_t id;
+  tcp_stream stream;
+  std::string input;
+  std::string customer;
+  char state = 'I';
+  bool is_read_only = false;
+  std::map<std::string, std::string> values;
+  std::map<std::string, std::string> prepared;  ///< Name to READ or WRITE.
+  std::map<std::string, std::string> writes;    ///< Of the open transaction.
+};
+
+session_database::session_database(event_loop& loop, std::string service, std::vector<std::string> members)
+    : loop_(loop), service_(std::move(service)), primary_(members.front()) {
+  for (const auto& id : members) {
+    auto& member = members_[id];
+    member = std::make_unique<member_state>();
+    member->id = id;
+    member->listener = std::make_unique<tcp_listener>(loop_, [this, state = member.get()](int handle) {
+      const auto number = ++last_connection_;
+      auto accepted = std::make_unique<connection>(*this, *state, number);
+      if (accepted->stream.adopt(handle)) connections_.emplace(number, std::move(accepted));
+    });
+    const auto bound = member->listener->listen({"127.0.0.1", 0});
+    if (!bound) throw std::runtime_error{bound.error().message};
+    member->address = *bound;
+  }
+}
+
+session_database::~session_database() = default;
+
+std::string session_database::address_of(const std::string& member) const {
+  return members_.at(member)->address.str();
+}
+
+std::vector<std::string> session_database::members() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, member] : members_) ids.push_back(id);
+  return ids;
+}
+
+void session_database::promote(const std::string& member) {
+  primary_ = member;
+  members_.at(member)->term = ++term_;
+  replicate();
+}
+
+void session_database::set_replicating(bool is_replicating) {
+  is_replicating_ = is_replicating;
+  replicate();
+}
+
+std::string session_database::value_of(const std::string& item) const {
+  const auto& data = members_.at(primary_)->data;
+  const auto it = data.find(item);
+  return it == data.end() ? std::string{} : it->second;
+}
+
+void session_database::replicate() {
+  if (!is_replicating_) return;
+  const auto& leader = *members_.at(primary_);
+  for (const auto& [id, member] : members_) {
+    member->term = leader.term;
+    member->position = leader.position;
+    member->data = leader.data;
+  }
+}
+
+void session_database::close(connection& closed) {
+  closed.stream.close();
+  const auto it = connections_.find(closed.id);
+  if (it == connections_.end()) return;
+  // The connection may be inside its own callback.
+  std::shared_ptr<connection> last{std::move(it->second)};
+  connections_.erase(it);
+  loop_.post([last] {});
+}
+
+std::string session_database::ready(const connection& from) const {
+  return fmt::format("READY {} {}.{}\r\n", from.state, from.member.term, from.member.position);
+}
+
+void session_database::on_line(connection& from, std::string_view line) {
+  if (faults_[from.member.id].is_silent) return;
+  const auto verb = take_word(line);
+  if (verb == "START") {
+    on_start(from, line);
+  } else if (verb == "QUERY") {
+    on_query(from, line);
+  } else {
+    close(from);
+  }
+}
+
+void session_database::on_start(connection& from, std::string_view rest) {
+  const auto service = take_word(rest);
+  from.customer = take_word(rest);
+  const auto expected = take_word(rest);
+  if (service != service_ || (!expected.empty() && expected != from.member.id)) {
+    from.stream.write(failure("MISROUTED"));
+    close(from);
+    return;
+  }
+  from.stream.write(ready(from));
+}
+
+void session_database::on_query(connection& from, std::string_view rest) {
+  const auto id = take_word(rest);
+  const auto answer = run(from, id, std::string{rest});
+  auto& faults = faults_[from.member.id];
+  if (id != "-" && faults.lost_answers > 0) {
+    --faults.lost_answers;
+    close(from);
+    return;
+  }
+  from.stream.write(answer + ready(from));
+}
+
+std::string session_database::run(connection& from, const std::string& id, std::string text) {
+  std::string_view rest{text};
+  if (rest.starts_with("AFTER ")) {
+    take_word(rest);
+    const auto point = take_word(rest);
+    const auto dot = point.find('.');
+    const std::pair<std::uint64_t, std::uint64_t> required{std::stoull(point.substr(0, dot)),
+                                                           std::stoull(point.substr(dot + 1))};
+    if (std::pair{from.member.term, from.member.position} < required) return failure("LAGGING");
+    text = std::string{rest};
+    rest = text;
+  }
+  const auto verb = take_word(rest);
+  if (verb == "BEGIN") {
+    auto& faults = faults_[from.member.id];
+    if (faults.refused_begins > 0 && id != "-") {
+      --faults.refused_begins;
+      return failure("LAGGING");
+    }
+    from.is_read_only = rest == "READ";
+    if (!from.is_read_only && from.member.id != primary_) return failure("READONLY");
+    from.state = 'T';
+    return complete("-");
+  }
+  if (verb == "ROLLBACK") {
+    from.state = 'I';
+    from.writes.clear();
+    return complete("-");
+  }
+  if (verb == "COMMIT") return commit(from, id);
+  if (verb == "RESET") {
+    from.values.clear();
+    from.prepared.clear();
+    return complete("-");
+  }
+  if (verb == "SET") {
+    const auto name = take_word(rest);
+    from.values[name] = std::string{rest};
+    return complete("-");
+  }
+  if (verb == "PREPARE") {
+    const auto name = take_word(rest);
+    from.prepared[name] = take_word(rest);
+    return complete("-");
+  }
+  if (verb == "STATUS") {
+    return fmt::format("ROW {} {} {}.{} 0 0 0 1\r\n", from.member.id == primary_ ? "primary" : "replica",
+                       from.member.term, from.member.term, from.member.position) +
+           complete("-");
+  }
+  return run_data(from, id, text);
+}
+
+std::string session_database::run_data(connection& from, const std::string& id, const std::string& text) {
+  if (from.state == 'E') return failure("MALFORMED");
+  std::string_view rest{text};
+  auto verb = take_word(rest);
+  if (verb == "EXECUTE") {
+    const auto it = from.prepared.find(take_word(rest));
+    if (it == from.prepared.end()) return failure("UNDEFINED");
+    verb = it->second;
+  }
+  const auto item = take_word(rest);
+  const bool must_lead = verb == "WRITE" || (from.state == 'T' && !from.is_read_only);
+  if (must_lead && from.member.id != primary_) {
+    if (from.state == 'T') from.state = 'E';
+    return failure("READONLY");
+  }
+  runs_.push_back({from.member.id, from.customer, id, text, from.values, from.state == 'T', from.id});
+  if (verb == "WRITE") {
+    from.writes[item] = std::string{rest};
+    if (from.state == 'I') return commit(from, id);
+    return complete("signed");
+  }
+  const auto written = from.writes.find(item);
+  const auto& data = from.member.data;
+  const auto stored = data.find(item);
+  const auto value = written != from.writes.end() ? written->second
+                     : stored != data.end()       ? stored->second
+                                                  : std::string{};
+  return fmt::format("ROW {}\r\n", value) + complete("signed");
+}
+
+std::string session_database::commit(connection& from, const std::string& id) {
+  const bool is_kept = from.writes.empty() || from.member.id == primary_;
+  if (from.state == 'T')
+    runs_.push_back({from.member.id, from.customer, id, "COMMIT", from.values, true, from.id});
+  from.state = 'I';
+  const auto writes = std::exchange(from.writes, {});
+  if (!is_kept) return failure("READONLY");
+  if (!writes.empty()) {
+    for (const auto& [item, value] : writes) from.member.data[item] = value;
+    ++from.member.position;
+    replicate();
+  }
+  return complete("signed");
+}
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/standins/session_database.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/tcp_stream.h"
+
+/// @file
+/// A stand-in for a database service of the operators' platform: a primary and replicas
+/// that speak the line protocol, on one event loop. Written from the protocol's page and
+/// independent of the product's own codec.
+
+namespace bulrushlift {
+
+/// One statement that a target ran.
+struct database_run {
+  std::string target;
+  std::string customer;
+  std::string id;
+  std::string text;
+  std::map<std::string, std::string> values;  ///< Session values at that moment.
+  bool is_in_transaction = false;
+  std::uint64_t connection = 0;
+};
+
+/// Faults of one target; each count is used up by one statement.
+struct database_faults {
+  int lost_answers = 0;    ///< Runs the statement and closes the connection without an answer.
+  int refused_begins = 0;  ///< Answers a begin with LAGGING.
+  bool is_silent = false;  ///< Accepts connections and answers nothing.
+};
+
+class session_database {
+ public:
+  /// @param members ids of the targets; the first one leads.
+  session_database(event_loop& loop, std::string service, std::vector<std::string> members);
+  session_database(const session_database&) = delete;
+  session_database& operator=(const session_database&) = delete;
+  ~session_database();
+
+  [[nodiscard]] std::string address_of(const std::string& member) const;
+  [[nodiscard]] const std::string& service() const noexcept { return service_; }
+  [[nodiscard]] const std::string& primary() const noexcept { return primary_; }
+  [[nodiscard]] std::vector<std::string> members() const;
+  [[nodiscard]] const std::vector<database_run>& runs() const noexcept { return runs_; }
+  [[nodiscard]] database_faults& faults_of(const std::string& member) { return faults_[member]; }
+
+  /// Makes a member the primary of the next term, with the log that it has.
+  void promote(const std::string& member);
+
+  /// While replication stands still, replicas keep the log that they have.
+  void set_replicating(bool is_replicating);
+
+  /// @return the value of an item at the primary, or nothing as an empty text.
+  [[nodiscard]] std::string value_of(const std::string& item) const;
+
+ private:
+  struct member_state;
+  struct connection;
+
+  void replicate();
+  void close(connection& closed);
+  void on_line(connection& from, std::string_view line);
+  void on_start(connection& from, std::string_view rest);
+  void on_query(connection& from, std::string_view rest);
+  [[nodiscard]] std::string run(connection& from, const std::string& id, std::string text);
+  [[nodiscard]] std::string run_data(connection& from, const std::string& id, const std::string& text);
+  [[nodiscard]] std::string commit(connection& from, const std::string& id);
+  [[nodiscard]] std::string ready(const connection& from) const;
+
+  event_loop& loop_;
+  std::string service_;
+  std::string primary_;
+  std::uint64_t term_ = 1;
+  bool is_replicating_ = true;
+  std::map<std::string, std::unique_ptr<member_state>> members_;
+  std::map<std::string, database_faults> faults_;
+  std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
+  std::vector<database_run> runs_;
+  std::uint64_t last_connection_ = 0;
+};
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/standins/session_platform.cc
@@ -0,0 +1,179 @@
+#include "standins/session_platform.h"
+
+#include <stdexcept>
+#include <utility>
+
+namespace bulrushlift {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view object_path = "/-/objects/";
+constexpr int http_conflict = 409;
+constexpr int http_gone = 410;
+constexpr int http_unavailable = 503;
+
+std::map<std::string, std::string> parse_query(std::string_view text) {
+  std::map<std::string, std::string> fields;
+  while (!text.empty()) {
+    const auto end = text.find('&');
+    const auto field = text.substr(0, end);
+    const auto equals = field.find('=');
+    if (equals != std::string_view::npos)
+      fields[std::string{field.substr(0, equals)}] = field.substr(equals + 1);
+    text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+  }
+  return fields;
+}
+
+}  // namespace
+
+session_platform::session_platform(event_loop& loop, promote_callback on_promotion)
+    : loop_(loop),
+      on_promotion_(std::move(on_promotion)),
+      server_(loop, {}, [this](const http_request& request, const http_responder& respond) {
+        on_request(request, respond);
+      }) {
+  const auto bound = server_.listen({"127.0.0.1", 0});
+  if (!bound) throw std::runtime_error{bound.error().message};
+  address_ = bound->str();
+}
+
+session_platform::~session_platform() = default;
+
+void session_platform::put(const std::string& kind, const std::string& name, const json& content) {
+  auto& object = objects_[kind][name];
+  object = {{"meta", {{"name", name}, {"revision", ++revision_}}}, {"spec", content}};
+  events_.push_back({revision_, kind, object, false});
+  answer_watches();
+}
+
+void session_platform::remove(const std::string& kind, const std::string& name) {
+  const auto node = objects_[kind].extract(name);
+  if (node.empty()) return;
+  events_.push_back({++revision_, kind, node.mapped(), true});
+  answer_watches();
+}
+
+void session_platform::compact() {
+  history_start_ = ++revision_;
+  events_.clear();
+  for (const auto& each : std::exchange(watches_, {})) each.respond(json_response(http_gone, "{}"));
+}
+
+json session_platform::content_of(const std::string& kind, const std::string& name) const {
+  const auto objects = objects_.find(kind);
+  if (objects == objects_.end()) return {};
+  const auto object = objects->second.find(name);
+  return object == objects->second.end() ? json{} : object->second["spec"];
+}
+
+void session_platform::on_request(const http_request& request, const http_responder& respond) {
+  if (faults_.is_silent) {
+    unanswered_.push_back(respond);
+    return;
+  }
+  if (faults_.is_refusing) {
+    respond(json_response(http_unavailable, "{}"));
+    return;
+  }
+  if (request.target == "/promotion") {
+    on_promotion(request, respond);
+    return;
+  }
+  const std::string_view target{request.target};
+  const auto question = target.find('?');
+  const auto path = target.substr(0, question).substr(object_path.size());
+  const auto query = question == std::string_view::npos ? std::map<std::string, std::string>{}
+                                                        : parse_query(target.substr(question + 1));
+  const auto slash = path.find('/');
+  const std::string kind{path.substr(0, slash)};
+  const std::string name{slash == std::string_view::npos ? std::string_view{} : path.substr(slash + 1)};
+  if (request.method != "GET") {
+    auto response = on_write(request, kind, name);
+    if (faults_.lost_writes > 0) {
+      --faults_.lost_writes;
+      unanswered_.push_back(respond);
+      return;
+    }
+    respond(std::move(response));
+    return;
+  }
+  if (query.contains("watch")) {
+    on_watch(kind, query, respond);
+    return;
+  }
+  json items = json::array();
+  for (const auto& [key, object] : objects_[kind]) items.push_back(object);
+  respond(json_response(200, json{{"items", items}, {"more", false}, {"at", revision_}}.dump()));
+}
+
+http_response session_platform::on_write(const http_request& request, const std::string& kind,
+                                         const std::string& name) {
+  const auto body = json::parse(request.body, nullptr, false);
+  const auto meta = body.value("meta", json::object());
+  const auto key = name.empty() ? meta.value("name", std::string{}) : name;
+  auto& objects = objects_[kind];
+  const auto it = objects.find(key);
+  const bool is_creation = request.method == "POST";
+  const bool has_conflict =
+      is_creation ? it != objects.end()
+                  : it == objects.end() ||
+                        (meta.contains("revision") && meta["revision"] != it->second["meta"]["revision"]);
+  if (has_conflict) return json_response(http_conflict, it == objects.end() ? "{}" : it->second.dump());
+  put(kind, key, body.value("spec", json{}));
+  return json_response(200, objects_[kind][key].dump());
+}
+
+std::optional<http_response> session_platform::events_after(const std::string& kind,
+                                                            std::uint64_t after) const {
+  if (after < history_start_) return json_response(http_gone, "{}");
+  json found = json::array();
+  for (const auto& each : events_) {
+    if (each.kind == kind && each.revision > after) {
+      found.push_back({{"object", each.object}, {"removed", each.is_removed}});
+    }
+  }
+  if (found.empty()) return std::nullopt;
+  return json_response(200, json{{"events", found}, {"at", revision_}}.dump());
+}
+
+void session_platform::on_watch(const std::string& kind, const std::map<std::string, std::string>& query,
+                                const http_responder& respond) {
+  const auto after = std::stoull(query.at("watch"));
+  if (auto response = events_after(kind, after)) {
+    respond(std::move(*response));
+    return;
+  }
+  watches_.push_back({kind, after, respond});
+  const auto wait = std::chrono::milliseconds{std::stoll(query.at("waitMs"))};
+  // A second answer to the same request has no effect.
+  loop_.schedule(wait, [respond, revision = after] {
+    respond(json_response(200, json{{"events", json::array()}, {"at", revision}}.dump()));
+  });
+}
+
+void session_platform::answer_watches() {
+  for (auto it = watches_.begin(); it != watches_.end();) {
+    auto response = events_after(it->kind, it->after);
+    if (response) it->respond(std::move(*response));
+    it = response ? watches_.erase(it) : std::next(it);
+  }
+}
+
+void session_platform::on_promotion(const http_request& request, const http_responder& respond) {
+  const auto body = json::parse(request.body, nullptr, false);
+  ordered_promotion order;
+  order.service = body.value("service", std::string{});
+  order.target = body.value("identifier", std::string{});
+  order.holder = std::string{request.headers.find("X-Duty-Holder").value_or("")};
+  order.token = std::stoull(std::string{request.headers.find("X-Fencing-Token").value_or("0")});
+  auto& newest = newest_tokens_[order.service];
+  order.is_accepted = order.token >= newest;
+  newest = std::max(newest, order.token);
+  promotions_.push_back(order);
+  if (order.is_accepted) on_promotion_(order);
+  respond(json_response(order.is_accepted ? 200 : http_conflict, "{}"));
+}
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/standins/session_platform.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.h"
+#include "net/http_server.h"
+
+/// @file
+/// A stand-in for the operators' platform on one event loop: the metadata store with
+/// kinds, versions and watches, and the call that promotes a target. Written from the
+/// platform's page and independent of the product's own client.
+
+namespace bulrushlift {
+
+/// How the store treats calls.
+struct platform_faults {
+  bool is_refusing = false;  ///< Answers 503.
+  bool is_silent = false;    ///< Takes calls and answers nothing.
+  int lost_writes = 0;       ///< So many writes are done and not answered.
+};
+
+/// A promotion that was ordered.
+struct ordered_promotion {
+  std::string service;
+  std::string target;
+  std::string holder;
+  std::uint64_t token = 0;
+  bool is_accepted = false;
+};
+
+class session_platform {
+ public:
+  using promote_callback = std::function<void(const ordered_promotion&)>;
+
+  session_platform(event_loop& loop, promote_callback on_promotion);
+  session_platform(const session_platform&) = delete;
+  session_platform& operator=(const session_platform&) = delete;
+  ~session_platform();
+
+  [[nodiscard]] std::string address() const { return address_; }
+  [[nodiscard]] platform_faults& faults() noexcept { return faults_; }
+
+  /// Writes an object as an operator or a target does.
+  void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
+  void remove(const std::string& kind, const std::string& name);
+  /// Drops the history: watches get 410.
+  void compact();
+
+  /// @return the content of an object, null if there is none.
+  [[nodiscard]] nlohmann::json content_of(const std::string& kind, const std::string& name) const;
+  [[nodiscard]] const std::vector<ordered_promotion>& promotions() const noexcept { return promotions_; }
+
+ private:
+  struct event {
+    std::uint64_t revision = 0;
+    std::string kind;
+    nlohmann::json object;
+    bool is_removed = false;
+  };
+  struct waiting_watch {
+    std::string kind;
+    std::uint64_t after = 0;
+    http_responder respond;
+  };
+
+  void on_request(const http_request& request, const http_responder& respond);
+  void on_promotion(const http_request& request, const http_responder& respond);
+  [[nodiscard]] http_response on_write(const http_request& request, const std::string& kind,
+                                       const std::string& name);
+  void on_watch(const std::string& kind, const std::map<std::string, std::string>& query,
+                const http_responder& respond);
+  [[nodiscard]] std::optional<http_response> events_after(const std::string& kind, std::uint64_t after) const;
+  void answer_watches();
+
+  event_loop& loop_;
+  promote_callback on_promotion_;
+  http_server server_;
+  std::string address_;
+  platform_faults faults_;
+  std::uint64_t revision_ = 1;
+  std::uint64_t history_start_ = 0;
+  std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
+  std::vector<event> events_;
+  std::list<waiting_watch> watches_;
+  std::vector<http_responder> unanswered_;
+  std::map<std::string, std::uint64_t> newest_tokens_;
+  std::vector<ordered_promotion> promotions_;
+};
+
+}  // namespace bulrushlift
