Open a connection to the better target while another one serves

Cause, found by the path test: a read took any idle connection, so with one to the primary alone no connection to a replica was ever opened, and the primary went on to serve reads at its own cost.

--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -123,6 +123,11 @@
   for (const auto& target : candidates) {
     const auto connection = pool_.find_idle(target, item->customer, *item->session);
     if (!connection) continue;
+    // Later reads use the better target: without a connection there, the primary would
+    // go on to serve them.
+    if (target != candidates.front()) {
+      static_cast<void>(pool_.open(item->route->service, candidates.front(), item->customer));
+    }
     start(item, connection, required);
     return true;
   }
