Fetch the configuration from a peer while the store does not answer

Cause, found by reading: a VM that the store turns away hears in heartbeats of a newer generation but could not get it, so a revoked key went on working there for the whole outage. It now asks the VM that told of it. The path test has a VM with a way to the store of its own; without the fetch it waits in vain for the end of the revoked session.

--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -56,8 +56,10 @@
       router_(context, peers_, runner_),
       membership_(
           context, [this] { on_members(); }, [this] { context_.loop.stop(); },
-          [this](generation_id generation) { store_.on_generation_heard(generation); }),
-      store_(context,
+          [this](const vm_id& peer, generation_id generation) {
+            store_.on_generation_heard(peer, generation);
+          }),
+      store_(context, peers_,
              observer_for(
                  context, budgets_, membership_, runner_,
                  [this] {
--- a/packages/entry/membership_port.cc
+++ b/packages/entry/membership_port.cc
@@ -11,7 +11,7 @@
 
 membership_port::membership_port(entry_context& context, std::function<void()> on_change,
                                  std::function<void()> on_superseded,
-                                 std::function<void(generation_id)> on_generation)
+                                 std::function<void(const vm_id&, generation_id)> on_generation)
     : context_(context),
       on_change_(std::move(on_change)),
       on_superseded_(std::move(on_superseded)),
@@ -54,9 +54,10 @@
                                  incarnation_id{static_cast<std::uint64_t>(leave.incarnation)}, now));
     return;
   }
-  perform(controller_.on_message(message_of(*envelope), from.str(), now, context_.random()));
+  const auto message = message_of(*envelope);
+  perform(controller_.on_message(message, from.str(), now, context_.random()));
   const auto& status = envelope->__isset.ping ? envelope->ping.configuration : envelope->ack.configuration;
-  on_generation_(from_wire(status).generation);
+  on_generation_(message.sender, from_wire(status).generation);
 }
 
 void membership_port::perform(const membership_actions& actions) {
--- a/packages/entry/membership_port.h
+++ b/packages/entry/membership_port.h
@@ -16,9 +16,10 @@
  public:
   /// @param on_change called when a member came, left or changed its state.
   /// @param on_superseded called when a later process has this VM's name.
-  /// @param on_generation called with the configuration that a heartbeat tells of.
+  /// @param on_generation called with the configuration that the heartbeat of a VM tells of.
   membership_port(entry_context& context, std::function<void()> on_change,
-                  std::function<void()> on_superseded, std::function<void(generation_id)> on_generation);
+                  std::function<void()> on_superseded,
+                  std::function<void(const vm_id&, generation_id)> on_generation);
 
   [[nodiscard]] result<net_address> open();
 
@@ -41,7 +42,7 @@
   entry_context& context_;
   std::function<void()> on_change_;
   std::function<void()> on_superseded_;
-  std::function<void(generation_id)> on_generation_;
+  std::function<void(const vm_id&, generation_id)> on_generation_;
   membership_controller controller_;
   datagram_socket socket_;
   bool is_changed_ = false;
--- a/packages/entry/peer_port.cc
+++ b/packages/entry/peer_port.cc
@@ -38,6 +38,8 @@
     on_loan_request_(message, respond);
   } else if (message.__isset.statement_request || message.__isset.transaction_end) {
     on_statement_(message, respond);
+  } else if (message.__isset.document_request) {
+    on_document_request_(message, respond);
   } else {
     respond(error{error_kind::protocol_error, "the message is not understood"});
   }
--- a/packages/entry/peer_port.h
+++ b/packages/entry/peer_port.h
@@ -21,10 +21,11 @@
 
   explicit peer_port(entry_context& context);
 
-  /// Sets who answers loan requests, and who answers statements and transaction ends.
-  /// Call both before `listen`.
+  /// Set who answers loan requests, statements with transaction ends, and requests for the
+  /// configuration. Call all before `listen`.
   void on_loan_request(handler callback) { on_loan_request_ = std::move(callback); }
   void on_statement(handler callback) { on_statement_ = std::move(callback); }
+  void on_document_request(handler callback) { on_document_request_ = std::move(callback); }
 
   [[nodiscard]] result<net_address> listen();
 
@@ -45,6 +46,7 @@
   entry_context& context_;
   handler on_loan_request_;
   handler on_statement_;
+  handler on_document_request_;
   std::map<vm_id, known_peer> peers_;
   peer_server server_;
 };
--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -194,6 +194,21 @@
               [&] { return world.connect(1)->ask_joined("START orders key-new") == "READY I -"; });
 }
 
+// Guards against a revoked key that goes on working at a VM that the store turns away.
+TEST_CASE("A VM that the store turns away gets the configuration from its peers") {
+  session_world world{"session_deaf_vm", 2, true};
+  static_cast<void>(world.session(0, "orders"));
+  const auto caller = world.session(1, "orders");
+  world.far_platform->faults().is_refusing = true;
+  world.far_platform->compact();
+
+  world.publish(2, {"key-new"});
+
+  world.await("end of the session", [&] { return caller->is_closed(); });
+  CHECK(world.connect(1)->ask_joined("START orders key-shop").starts_with("ERROR DENIED"));
+  CHECK(world.connect(1)->ask_joined("START orders key-new") == "READY I -");
+}
+
 TEST_CASE("SIGTERM ends the process in order") {
   session_world world{"session_drain", 2};
   const auto caller = world.session(0, "orders");
--- a/packages/entry/session_world_fake.cc
+++ b/packages/entry/session_world_fake.cc
@@ -47,14 +47,15 @@
   return joined;
 }
 
-session_world::session_world(const std::string& name, std::size_t vms)
-    : folder_(std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name) {
+session_world::session_world(const std::string& name, std::size_t vms, bool has_far_store)
+    : folder_(std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name), has_far_store_(has_far_store) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   platform = std::make_unique<session_platform>(loop, [this](const ordered_promotion& order) {
     database->promote(order.target);
     for (const auto& member : database->members()) announce(member, "ready");
   });
+  far_platform = std::make_unique<session_platform>(loop, [](const ordered_promotion& /*order*/) {});
   database =
       std::make_unique<session_database>(loop, "ledger", std::vector<std::string>{"i-a", "i-b", "i-c"});
   for (const auto& member : database->members()) announce(member, "ready");
@@ -67,17 +68,22 @@
   for (std::size_t vm = 0; vm < vms; ++vm) start_vm(vm);
 }
 
+void session_world::put(const std::string& kind, const std::string& name, const json& content) {
+  platform->put(kind, name, content);
+  if (!far_platform->faults().is_refusing) far_platform->put(kind, name, content);
+}
+
 void session_world::announce(const std::string& target, const std::string& state) {
-  platform->put("servers", target,
-                {{"service", "ledger"},
-                 {"address", database->address_of(target)},
-                 {"zone", target == "i-b" ? "north" : "south"},
-                 {"version", "v1"},
-                 {"slots", 2},
-                 {"state", state},
-                 {"databaseRole", target == database->primary() ? "primary" : "replica"},
-                 {"sequence", 1},
-                 {"born", 1}});
+  put("servers", target,
+      {{"service", "ledger"},
+       {"address", database->address_of(target)},
+       {"zone", target == "i-b" ? "north" : "south"},
+       {"version", "v1"},
+       {"slots", 2},
+       {"state", state},
+       {"databaseRole", target == database->primary() ? "primary" : "replica"},
+       {"sequence", 1},
+       {"born", 1}});
 }
 
 void session_world::publish(std::uint64_t version, const std::vector<std::string>& shop_keys) {
@@ -86,8 +92,7 @@
                 {"timeoutMs", 5000}, {"priority", 1},          {"targetLatencyMs", 4000},
                 {"public", false},   {"maxStalenessMs", 2000}, {"service", "ledger"}};
   };
-  platform->put(
-      "config", "main",
+  put("config", "main",
       {{"version", version},
        {"routes", {route("orders", "primary"), route("stock", "bounded"), route("book", "read_your_writes")}},
        {"services", {{{"name", "ledger"}, {"connectionLimit", 16}, {"syncReplicas", 0}}}},
@@ -101,6 +106,20 @@
   const auto& ports = ports_.at(vm);
   const auto address = [](std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); };
   const auto path = fmt::format("{}/entry-{}.jsonc", folder_, vm);
+  const bool is_far = has_far_store_ && vm + 1 == ports_.size();
+  if (is_far) {
+    // The two stores hold the same VMs.
+    for (std::size_t each = 0; each < ports_.size(); ++each) {
+      const json record{
+          {"peerAddress", address(ports_[each].peers)}, {"dataCentre", "south"}, {"incarnation", 1}};
+      const auto name = fmt::format("entry-{}", each);
+      if (each == vm) {
+        platform->put("bulrushlift-vms", name, record);
+      } else {
+        far_platform->put("bulrushlift-vms", name, record);
+      }
+    }
+  }
   std::ofstream{path} << json{
       {"vm", fmt::format("entry-{}", vm)},
       {"data_centre", vm == 0 ? "north" : "south"},
@@ -108,7 +127,7 @@
       {"readiness_listen", address(ports.readiness)},
       {"peer_listen", address(ports.peers)},
       {"metrics_listen", address(ports.metrics)},
-      {"store", platform->address()},
+      {"store", is_far ? far_platform->address() : platform->address()},
       {"promotions", platform->address()},
       {"drain_seconds", 6}}.dump();
   auto started =
--- a/packages/entry/session_world_fake.h
+++ b/packages/entry/session_world_fake.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -43,10 +44,13 @@
 class session_world {
  public:
   /// @param name of the folder for settings and logs.
-  session_world(const std::string& name, std::size_t vms);
+  /// @param has_far_store the last VM reaches the store by a way of its own.
+  session_world(const std::string& name, std::size_t vms, bool has_far_store = false);
 
   event_loop loop;
   std::unique_ptr<session_platform> platform;
+  /// The store as the last VM sees it; gets the same objects until its faults are set.
+  std::unique_ptr<session_platform> far_platform;
   std::unique_ptr<session_database> database;
 
   /// Runs the loop until the condition holds; fails the test if it does not for a long time.
@@ -69,7 +73,10 @@
     std::uint16_t metrics = 0;
   };
 
+  void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
+
   std::string folder_;
+  bool has_far_store_ = false;
   std::vector<vm_ports> ports_;
   std::map<std::size_t, child_process> processes_;
 };
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -12,6 +12,7 @@
 using std::chrono::seconds;
 
 constexpr duration write_timeout = seconds{1};
+constexpr duration peer_timeout = milliseconds{500};
 constexpr duration announce_retry = milliseconds{500};
 
 // A configuration must be in force within 3 s, also if a watch's connection is silent. Two
@@ -30,8 +31,9 @@
 
 }  // namespace
 
-store_adapter::store_adapter(entry_context& context, observer callbacks)
+store_adapter::store_adapter(entry_context& context, peer_port& peers, observer callbacks)
     : context_(context),
+      peers_(peers),
       callbacks_(std::move(callbacks)),
       store_(context.loop, context.settings.store),
       configuration_(context, store_, object_kind::configuration, configuration_options,
@@ -39,7 +41,10 @@
       targets_(context, store_, object_kind::targets, target_options, target_observer()),
       vms_(context, store_, object_kind::vms, vm_options, vm_observer()),
       promotions_(context, store_, object_kind::promotions, promotion_options, promotion_observer()),
-      announce_timer_(context.loop) {}
+      announce_timer_(context.loop) {
+  peers_.on_document_request(
+      [this](const peer::envelope_t& /*message*/, const peer_responder& respond) { answer_peer(respond); });
+}
 
 void store_adapter::start() {
   configuration_.start();
@@ -61,23 +66,67 @@
 }
 
 void store_adapter::on_configuration(const platform::stored_object& object) {
-  if (object.name != platform::configuration_object()) return;
-  auto decoded = platform::decode_environment(object.content);
+  if (object.name == platform::configuration_object()) take_configuration(object.content, "store");
+}
+
+void store_adapter::take_configuration(const nlohmann::json& content, std::string_view source) {
+  auto decoded = platform::decode_environment(content);
   if (!decoded) {
-    log_error("configuration_rejected", {{"reason", decoded.error().message}});
+    log_error("configuration_rejected", {{"source", source}, {"reason", decoded.error().message}});
     return;
   }
   const auto& current = context_.board.environment;
   if (current && decoded->generation <= current->generation) {
-    log_info("configuration_ignored",
-             {{"generation", decoded->generation.value()}, {"in_force", current->generation.value()}});
+    log_info("configuration_ignored", {{"source", source},
+                                       {"generation", decoded->generation.value()},
+                                       {"in_force", current->generation.value()}});
     return;
   }
+  content_ = content;
   context_.board.environment = std::make_shared<const sql::environment>(std::move(*decoded));
-  log_info("configuration_in_force", {{"generation", context_.board.environment->generation.value()}});
+  log_info("configuration_in_force",
+           {{"source", source}, {"generation", context_.board.environment->generation.value()}});
   callbacks_.on_environment();
 }
 
+void store_adapter::answer_peer(const peer_responder& respond) const {
+  const auto& environment = context_.board.environment;
+  if (!environment) {
+    respond(error{error_kind::no_configuration, "no configuration is in force"});
+    return;
+  }
+  peer::document_reply_t document;
+  document.generation = static_cast<std::int64_t>(environment->generation.value());
+  document.text = content_.dump();
+  peer::envelope_t reply;
+  reply.__set_document_reply(document);
+  respond(std::move(reply));
+}
+
+void store_adapter::ask_peer(const vm_id& peer) {
+  const auto now = context_.loop.now();
+  if (now - asked_peer_ < peer_timeout) return;
+  asked_peer_ = now;
+  peer::envelope_t message;
+  peer::document_request_t request;
+  request.generation = static_cast<std::int64_t>(
+      context_.board.environment ? context_.board.environment->generation.value() : 0);
+  message.__set_document_request(request);
+  peers_.request(peer, std::move(message), peer_timeout, [this, peer](const result<peer::envelope_t>& reply) {
+    if (!reply || !reply->__isset.document_reply) {
+      log_warning("configuration_not_fetched",
+                  {{"peer", peer.str()}, {"reason", reply ? "no document" : reply.error().message.c_str()}});
+      return;
+    }
+    const auto content = nlohmann::json::parse(reply->document_reply.text, nullptr, false);
+    if (content.is_object()) {
+      take_configuration(content, "peer");
+    } else {
+      log_warning("configuration_not_fetched", {{"peer", peer.str()}, {"reason", "not a JSON object"}});
+    }
+  });
+}
+
 store_mirror::observer store_adapter::target_observer() {
   return {[this](const platform::stored_object& object) { on_target(object); },
           [this](const std::string& name) { on_target_removed(target_id{name}); },
@@ -158,9 +207,15 @@
           [] {}};
 }
 
-void store_adapter::on_generation_heard(generation_id generation) {
+void store_adapter::on_generation_heard(const vm_id& peer, generation_id generation) {
   const auto& environment = context_.board.environment;
-  if (environment && generation > environment->generation) configuration_.refresh();
+  if (environment && generation <= environment->generation) return;
+  if (generation == generation_id{}) return;
+  if (configuration_.is_reachable()) {
+    configuration_.refresh();
+  } else {
+    ask_peer(peer);
+  }
 }
 
 void store_adapter::on_members() {
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -2,8 +2,11 @@
 
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <string_view>
 
 #include "entry/entry_context.h"
+#include "entry/peer_port.h"
 #include "entry/store_mirror.h"
 #include "platform/documents.h"
 #include "platform/object_store.h"
@@ -23,15 +26,16 @@
     std::function<void(const platform::promotion_record&)> on_promotion;
   };
 
-  store_adapter(entry_context& context, observer callbacks);
+  store_adapter(entry_context& context, peer_port& peers, observer callbacks);
 
   void start();
 
   /// @return whether this VM knows enough to serve.
   [[nodiscard]] bool is_ready() const noexcept;
 
-  /// Another VM has this configuration: reads the store if it is newer than the own one.
-  void on_generation_heard(generation_id generation);
+  /// Another VM has this configuration: if it is newer than the own one, reads the store, or
+  /// asks that VM while the store does not answer.
+  void on_generation_heard(const vm_id& peer, generation_id generation);
   /// The members changed: decides how closely this VM watches the configuration.
   void on_members();
 
@@ -46,12 +50,18 @@
   [[nodiscard]] store_mirror::observer vm_observer();
   [[nodiscard]] store_mirror::observer promotion_observer();
   void on_configuration(const platform::stored_object& object);
+  void take_configuration(const nlohmann::json& content, std::string_view source);
+  void ask_peer(const vm_id& peer);
+  void answer_peer(const peer_responder& respond) const;
   void on_target(const platform::stored_object& object);
   void on_target_removed(const target_id& target);
   void announce_self();
 
   entry_context& context_;
+  peer_port& peers_;
   observer callbacks_;
+  nlohmann::json content_;  ///< The configuration in force as the operator wrote it.
+  time_point asked_peer_{};
   platform::object_store store_;
   store_mirror configuration_;
   store_mirror targets_;
--- a/packages/entry/store_mirror.cc
+++ b/packages/entry/store_mirror.cc
@@ -47,6 +47,7 @@
   if (now - refreshed_ < refresh_pause) return;
   refreshed_ = now;
   ++round_;
+  is_refreshing_ = true;
   retry_timer_.cancel();
   list("");
 }
@@ -133,6 +134,7 @@
 }
 
 void store_mirror::regain() {
+  is_refreshing_ = false;
   if (std::exchange(failures_, 0) == 0) return;
   log_info("store_regained", {{"kind", platform::name_of(kind_)}});
   if (options_.removal_grace <= duration::zero()) return;
@@ -147,6 +149,7 @@
 }
 
 void store_mirror::on_failure(const error& reason) {
+  is_refreshing_ = false;
   if (failures_++ == 0) {
     log_warning("store_lost", {{"kind", platform::name_of(kind_)}, {"reason", reason.message}});
   }
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -49,6 +49,8 @@
 
   /// @return whether the last call succeeded and the first listing is complete.
   [[nodiscard]] bool is_synced() const noexcept { return is_synced_; }
+  /// @return whether the last call was answered and no refresh waits for its answer.
+  [[nodiscard]] bool is_reachable() const noexcept { return failures_ == 0 && !is_refreshing_; }
   /// @return the version of an object as last seen; 0 if it is not known.
   [[nodiscard]] object_version version_of(const std::string& name) const;
 
@@ -76,6 +78,7 @@
   std::uint64_t round_ = 0;  ///< Answers to calls of earlier rounds are dropped.
   time_point refreshed_{};
   bool is_synced_ = false;
+  bool is_refreshing_ = false;
   bool must_list_ = true;
   time_point grace_end_{};
   scoped_timer retry_timer_;
