--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -59,6 +59,7 @@
 
 std::optional<failover_action> failover_controller::give_up(time_point now) {
   enter(step::idle, now);
+  not_before_ = now + options_.retry_pause;
   if (fenced_.empty()) return std::nullopt;
   return resume_targets{std::exchange(fenced_, {})};
 }
@@ -79,7 +80,7 @@
     return std::nullopt;
   }
   if (!lost_since_) lost_since_ = now;
-  if (is_claim_pending(board, now)) return std::nullopt;
+  if (is_claim_pending(board, now) || now < not_before_) return std::nullopt;
   if (now - *lost_since_ < options_.rank_delay * static_cast<duration::rep>(view.rank)) return std::nullopt;
   survey_targets action;
   action.reason = *reason;
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -74,6 +74,8 @@
   duration rank_delay = std::chrono::milliseconds{400};
   /// Time that a claim of another VM has for its effect.
   duration claim_patience = std::chrono::milliseconds{2'500};
+  /// Pause after an attempt that was given up: each survey takes a slot of every target.
+  duration retry_pause = std::chrono::milliseconds{250};
   /// Time for the effect of an own order before it is repeated with a new claim.
   duration order_patience = std::chrono::milliseconds{1'500};
 };
@@ -109,6 +111,7 @@
   step step_ = step::idle;
   time_point entered_{};
   std::optional<time_point> lost_since_;
+  time_point not_before_{};         ///< Of the next survey.
   std::vector<target_id> fenced_;   ///< Targets that this VM stopped from receiving.
   std::size_t needed_answers_ = 1;  ///< Of the running survey.
   term_id newest_fence_;
