--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -46,7 +46,7 @@
 statement_runner::statement_runner(entry_context& context)
     : context_(context), pool_(context, [this](const service_id& service) { pump(service); }) {}
 
-void statement_runner::run(work_ptr item) {
+void statement_runner::run(const work_ptr& item) {
   if (item->pinned.is_set()) {
     start(item, item->pinned.connection, std::nullopt);
     return;
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -22,7 +22,7 @@
 
   /// Runs a statement. `done` is called once, never from within this call, unless the
   /// item is cancelled.
-  void run(work_ptr item);
+  void run(const work_ptr& item);
 
   /// The caller left: a waiting statement is dropped, a running one is left to end.
   void cancel(const work_ptr& item);
--- a/packages/platform/promotion_client.cc
+++ b/packages/platform/promotion_client.cc
@@ -32,7 +32,7 @@
 
 }  // namespace
 
-void promotion_client::order(const promotion_order& order, duration timeout, callback done) {
+void promotion_client::order(const promotion_order& order, duration timeout, const callback& done) {
   auto connection = std::make_shared<http_connection>(loop_);
   auto& opened = *connection;
   // Orders are rare, so each has a connection of its own, which lives until its answer.
--- a/packages/platform/promotion_client.h
+++ b/packages/platform/promotion_client.h
@@ -29,7 +29,7 @@
 
   /// @param done gets `conflict` if the order was refused: the token is too low or the
   ///   target does not run. Any other error leaves the outcome open.
-  void order(const promotion_order& order, duration timeout, callback done);
+  void order(const promotion_order& order, duration timeout, const callback& done);
 
  private:
   event_loop& loop_;
