Cancel the timers of an event loop before it is destroyed

Cause, found by the sanitized path tests: the timer queue is destroyed after the dispatcher and called it for each timer that was left.

--- a/packages/net/event_loop.cc
+++ b/packages/net/event_loop.cc
@@ -133,6 +133,8 @@
     state_->reactor.remove_handler(handler.get(),
                                    ACE_Event_Handler::READ_MASK | ACE_Event_Handler::DONT_CALL);
   }
+  // The timer queue outlives the dispatcher and would call it for timers that are left.
+  state_->reactor.cancel_timer(&state_->dispatcher);
   // Callbacks may own connections, which use the reactor until they are destroyed.
   state_->posted.clear();
   auto entries = std::exchange(state_->dispatcher.entries, {});
--- a/packages/net/event_loop_test.cc
+++ b/packages/net/event_loop_test.cc
@@ -87,3 +87,13 @@
   loop.run_for(10s);
   CHECK(arrived);
 }
+// Guards against a crash at the end of a process: the timer queue called a dispatcher that
+// was destroyed before it.
+TEST_CASE("a loop is destroyed while timers are pending") {
+  bool has_run = false;
+  {
+    event_loop loop;
+    loop.schedule(std::chrono::hours{1}, [&] { has_run = true; });
+  }
+  CHECK_FALSE(has_run);
+}
