Leave room for the next owner among a target's connections

Cause: after a loss of power a target keeps the connections of the lost VM for 3 s.

Ruled out: a slow start (the restarted VMs had configuration, targets and primaries within 20 ms of their start) and the rates (spent at once).

Change: connection_share gives each other VM 6 % and the owner half of what two watchers leave, 7 of 16.

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "sql/connection_share.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -26,11 +27,6 @@
 // Pause before another connection is opened to a target that was at its limit.
 constexpr duration crowded_pause = milliseconds{150};
 
-// The owner of a service leaves room for a VM that has not yet heard of it, and for the
-// next owner.
-constexpr std::size_t owner_percent = 75;
-constexpr std::size_t others_percent = 12;
-
 }  // namespace
 
 connection_pool::connection_pool(entry_context& context, change_callback on_change)
@@ -41,10 +37,8 @@
   if (!environment) return 0;
   const auto it = environment->services.find(service);
   if (it == environment->services.end()) return 0;
-  const std::size_t limit = it->second.connection_limit;
   const bool is_owner = owner_of(service, context_.board) == context_.settings.vm;
-  const auto part = is_owner ? limit * owner_percent / 100 : limit * others_percent / 100;
-  return std::max<std::size_t>(part, 1);
+  return sql::connection_share(it->second.connection_limit, is_owner);
 }
 
 connection_pool::connection_ptr connection_pool::find_idle(const target_id& target,
