Share services evenly among the VMs; look for idle connections by customer

Each statement that ended made it look through the whole queue, and for each waiting statement through all 90 connections of each target.

Ruled out: the cut of 11 VMs at 1 to 13 s (the losses went on to 20 s), the slots of the targets and the store.

Change: ownership_table ranks the VMs of all services once for each change of members or services, and no VM owns more than an even share; the router asks the table and no longer hashes all members for each statement. The pool keeps idle connections by customer and counts by use. A queue is not looked through while every slot is taken (service_board::has_room).

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -41,59 +41,85 @@
   return sql::connection_share(it->second.connection_limit, is_owner);
 }
 
+const connection_pool::target_pool* connection_pool::find(const target_id& target) const {
+  const auto it = pools_.find(target);
+  return it == pools_.end() ? nullptr : &it->second;
+}
+
+void connection_pool::drop_from_idle(target_pool& pool, const connection_ptr& connection) {
+  const auto it = pool.idle.find(connection->customer);
+  if (it == pool.idle.end()) return;
+  std::erase(it->second, connection);
+  if (it->second.empty()) pool.idle.erase(it);
+}
+
+void connection_pool::set_use(const connection_ptr& connection, connection_use use) {
+  auto& pool = pools_[connection->target];
+  if (connection->use == connection_use::idle) drop_from_idle(pool, connection);
+  --pool.counts.at(static_cast<std::size_t>(connection->use));
+  connection->use = use;
+  connection->used = context_.loop.now();
+  ++pool.counts.at(static_cast<std::size_t>(use));
+  if (use == connection_use::idle) pool.idle[connection->customer].push_back(connection);
+}
+
 connection_pool::connection_ptr connection_pool::find_idle(const target_id& target,
                                                            const customer_id& customer,
                                                            const sql::session_state& session) const {
-  const auto it = connections_.find(target);
-  if (it == connections_.end()) return nullptr;
+  const auto* pool = find(target);
+  if (pool == nullptr) return nullptr;
+  const auto it = pool->idle.find(customer);
+  if (it == pool->idle.end()) return nullptr;
   connection_ptr best;
   std::size_t best_distance = 0;
   for (const auto& each : it->second) {
-    if (each->use != connection_use::idle || each->customer != customer || !each->io.is_open()) continue;
+    if (!each->io.is_open()) continue;
     const auto distance = each->state.distance(session);
     if (best && distance >= best_distance) continue;
     best = each;
     best_distance = distance;
+    if (distance == 0) break;
   }
   return best;
 }
 
 connection_pool::connection_ptr connection_pool::find_any_idle(const target_id& target) const {
-  const auto it = connections_.find(target);
-  if (it == connections_.end()) return nullptr;
-  const auto found = std::find_if(it->second.begin(), it->second.end(), [](const connection_ptr& each) {
-    return each->use == connection_use::idle && each->io.is_open();
-  });
-  return found == it->second.end() ? nullptr : *found;
+  const auto* pool = find(target);
+  if (pool == nullptr) return nullptr;
+  for (const auto& [customer, connections] : pool->idle) {
+    for (const auto& each : connections) {
+      if (each->io.is_open()) return each;
+    }
+  }
+  return nullptr;
 }
 
 std::size_t connection_pool::opening(const target_id& target, const customer_id& customer) const {
-  const auto it = connections_.find(target);
-  if (it == connections_.end()) return 0;
+  const auto* pool = find(target);
+  if (pool == nullptr || count(target, connection_use::opening) == 0) return 0;
   return static_cast<std::size_t>(
-      std::count_if(it->second.begin(), it->second.end(), [&](const connection_ptr& each) {
+      std::count_if(pool->all.begin(), pool->all.end(), [&](const connection_ptr& each) {
         return each->use == connection_use::opening && each->customer == customer;
       }));
 }
 
-bool connection_pool::evict_idle(connection_list& connections, std::size_t held) {
+bool connection_pool::evict_idle(const target_pool& pool, std::size_t held) {
   std::map<customer_id, std::size_t> counts;
-  for (const auto& each : connections) {
+  for (const auto& each : pool.all) {
     if (each->use != connection_use::pinned) ++counts[each->customer];
   }
-  auto chosen = connections.end();
-  for (auto it = connections.begin(); it != connections.end(); ++it) {
-    const auto& each = **it;
-    if (each.use != connection_use::idle) continue;
+  connection_ptr chosen;
+  for (const auto& [customer, connections] : pool.idle) {
     // A customer without any connection takes one from any other; else the richer give.
-    if (held > 0 && counts[each.customer] <= held + 1) continue;
-    const bool is_better =
-        chosen == connections.end() ||
-        std::pair{counts[each.customer], (*chosen)->used} > std::pair{counts[(*chosen)->customer], each.used};
-    if (is_better) chosen = it;
+    if (held > 0 && counts[customer] <= held + 1) continue;
+    for (const auto& each : connections) {
+      const bool is_better = !chosen || std::pair{counts[customer], chosen->used} >
+                                            std::pair{counts[chosen->customer], each->used};
+      if (is_better) chosen = each;
+    }
   }
-  if (chosen == connections.end()) return false;
-  remove(connection_ptr{*chosen});
+  if (!chosen) return false;
+  remove(chosen);
   return true;
 }
 
@@ -104,27 +130,25 @@
   const auto* entry = board->second.find(target);
   if (entry == nullptr) return false;
   const auto now = context_.loop.now();
-  if (const auto it = crowded_until_.find(target); it != crowded_until_.end() && it->second > now) {
-    return false;
-  }
+  auto& pool = pools_[target];
+  const auto opening = pool.counts.at(static_cast<std::size_t>(connection_use::opening));
+  if (pool.crowded_until > now || opening >= most_opening) return false;
   const auto address = parse_address(entry->info.address);
   if (!address) {
     log_warning("target_address_invalid", {{"target", target.str()}, {"reason", address.error().message}});
     return false;
   }
-  auto& connections = connections_[target];
-  std::size_t held = 0;
-  std::size_t opening = 0;
-  for (const auto& each : connections) {
-    if (each->use == connection_use::opening) ++opening;
-    if (each->customer == customer && each->use != connection_use::pinned) ++held;
-  }
-  if (held >= useful || opening >= most_opening) return false;
-  if (connections.size() >= limit_of(service) && !evict_idle(connections, held)) return false;
+  const auto held = static_cast<std::size_t>(
+      std::count_if(pool.all.begin(), pool.all.end(), [&](const connection_ptr& each) {
+        return each->customer == customer && each->use != connection_use::pinned;
+      }));
+  if (held >= useful) return false;
+  if (pool.all.size() >= limit_of(service) && !evict_idle(pool, held)) return false;
   auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
   connection->used = now;
   connection->give_up = now + open_timeout;
-  connections.push_back(connection);
+  pool.all.push_back(connection);
+  ++pool.counts.at(static_cast<std::size_t>(connection_use::opening));
   context_.counters.counter("target_connections_opened_total").add();
   connection->io.open(
       {*address, service, customer, target},
@@ -138,8 +162,7 @@
   connection->give_up.reset();
   if (!failure) {
     board.on_answer(connection->target, std::nullopt, now);
-    connection->use = connection_use::idle;
-    connection->used = now;
+    set_use(connection, connection_use::idle);
     connection->io.on_idle_close([this, weak = std::weak_ptr{connection}] {
       const auto self = weak.lock();
       if (!self) return;
@@ -152,7 +175,7 @@
   const bool is_crowded =
       *failure == sql::target_error::too_many_connections || *failure == sql::target_error::busy;
   if (is_crowded) {
-    crowded_until_[connection->target] = now + crowded_pause;
+    pools_[connection->target].crowded_until = now + crowded_pause;
   } else {
     board.on_failure(connection->target, now);
   }
@@ -163,10 +186,7 @@
   on_change_(connection->service);
 }
 
-void connection_pool::take(const connection_ptr& connection, connection_use use) {
-  connection->use = use;
-  connection->used = context_.loop.now();
-}
+void connection_pool::take(const connection_ptr& connection, connection_use use) { set_use(connection, use); }
 
 void connection_pool::release(const connection_ptr& connection) {
   connection->give_up.reset();
@@ -174,8 +194,7 @@
     discard(connection);
     return;
   }
-  connection->use = connection_use::idle;
-  connection->used = context_.loop.now();
+  set_use(connection, connection_use::idle);
   on_change_(connection->service);
 }
 
@@ -185,8 +204,11 @@
 }
 
 void connection_pool::remove(const connection_ptr& connection) {
-  const auto it = connections_.find(connection->target);
-  if (it != connections_.end()) it->second.remove(connection);
+  const auto it = pools_.find(connection->target);
+  if (it != pools_.end() && std::erase(it->second.all, connection) > 0) {
+    if (connection->use == connection_use::idle) drop_from_idle(it->second, connection);
+    --it->second.counts.at(static_cast<std::size_t>(connection->use));
+  }
   // The connection may be inside its own callback, so it is destroyed in the next turn.
   context_.loop.post([connection] { connection->io.drop(); });
 }
@@ -195,12 +217,11 @@
   const auto now = context_.loop.now();
   std::vector<connection_ptr> late;
   std::vector<connection_ptr> unused;
-  for (const auto& [target, connections] : connections_) {
-    for (const auto& each : connections) {
+  for (const auto& [target, pool] : pools_) {
+    for (const auto& each : pool.all) {
       if (each->give_up && *each->give_up <= now) late.push_back(each);
       if (each->use != connection_use::idle) continue;
-      const bool is_surplus =
-          connections.size() > limit_of(each->service) && now - each->used >= surplus_time;
+      const bool is_surplus = pool.all.size() > limit_of(each->service) && now - each->used >= surplus_time;
       if (is_surplus || now - each->used >= idle_lifetime) unused.push_back(each);
     }
   }
@@ -214,29 +235,29 @@
 
 void connection_pool::close_unlisted() {
   std::vector<connection_ptr> orphans;
-  for (const auto& [target, connections] : connections_) {
-    for (const auto& each : connections) {
-      if (each->use != connection_use::idle) continue;
-      const auto board = context_.board.services.find(each->service);
-      if (board == context_.board.services.end() || board->second.find(target) == nullptr) {
-        orphans.push_back(each);
-      }
+  for (const auto& [target, pool] : pools_) {
+    if (pool.all.empty()) continue;
+    const auto board = context_.board.services.find(pool.all.front()->service);
+    if (board != context_.board.services.end() && board->second.find(target) != nullptr) continue;
+    for (const auto& [customer, connections] : pool.idle) {
+      orphans.insert(orphans.end(), connections.begin(), connections.end());
     }
   }
   for (const auto& each : orphans) remove(each);
-  std::erase_if(connections_, [](const auto& each) { return each.second.empty(); });
+  const auto now = context_.loop.now();
+  std::erase_if(pools_, [now](const auto& each) {
+    return each.second.all.empty() && each.second.crowded_until <= now;
+  });
 }
 
 std::size_t connection_pool::count(const target_id& target, connection_use use) const {
-  const auto it = connections_.find(target);
-  if (it == connections_.end()) return 0;
-  return static_cast<std::size_t>(std::count_if(
-      it->second.begin(), it->second.end(), [&](const connection_ptr& each) { return each->use == use; }));
+  const auto* pool = find(target);
+  return pool == nullptr ? 0 : pool->counts.at(static_cast<std::size_t>(use));
 }
 
 std::size_t connection_pool::count(const target_id& target) const {
-  const auto it = connections_.find(target);
-  return it == connections_.end() ? 0 : it->second.size();
+  const auto* pool = find(target);
+  return pool == nullptr ? 0 : pool->all.size();
 }
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "entry/entry_context.h"
 #include "platform/target_connection.h"
@@ -23,6 +25,7 @@
   busy,    ///< Runs a batch of a statement outside of a transaction.
   pinned,  ///< Belongs to the transaction of a session.
 };
+inline constexpr std::size_t connection_uses = 4;
 
 struct pooled_connection {
   pooled_connection(event_loop& loop, service_id of, target_id to, customer_id as)
@@ -81,18 +84,28 @@
   [[nodiscard]] std::size_t count(const target_id& target) const;
 
  private:
-  using connection_list = std::list<connection_ptr>;
+  /// The connections to one target. Statements look for idle connections of one customer
+  /// each time a slot becomes free, so these have an index of their own.
+  struct target_pool {
+    std::list<connection_ptr> all;
+    std::map<customer_id, std::vector<connection_ptr>> idle;
+    std::array<std::size_t, connection_uses> counts{};
+    time_point crowded_until{};  ///< The target was at its limit.
+  };
 
   [[nodiscard]] std::size_t limit_of(const service_id& service) const;
-  bool evict_idle(connection_list& connections, std::size_t held);
+  [[nodiscard]] const target_pool* find(const target_id& target) const;
+  /// Changes the use of a connection; all changes go through here.
+  void set_use(const connection_ptr& connection, connection_use use);
+  void drop_from_idle(target_pool& pool, const connection_ptr& connection);
+  bool evict_idle(const target_pool& pool, std::size_t held);
   void on_opened(const connection_ptr& connection, std::optional<sql::target_error> failure);
   void remove(const connection_ptr& connection);
   void close_unlisted();
 
   entry_context& context_;
   change_callback on_change_;
-  std::map<target_id, connection_list> connections_;
-  std::map<target_id, time_point> crowded_until_;  ///< The target was at its limit.
+  std::map<target_id, target_pool> pools_;
 };
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -9,7 +9,7 @@
 #include "base/metrics.h"
 #include "entry/entry_settings.h"
 #include "fleet/membership_controller.h"
-#include "fleet/ownership.h"
+#include "fleet/ownership_table.h"
 #include "net/event_loop.h"
 #include "platform/documents.h"
 #include "sql/environment.h"
@@ -26,15 +26,14 @@
   std::map<service_id, sql::service_board> services;    ///< `store_adapter` and `statement_runner`.
   std::map<vm_id, platform::vm_record> vms;             ///< `store_adapter`.
   std::vector<member> members;                          ///< `membership_port`.
+  ownership_table ownership;                            ///< `entry_daemon`; of the configured services.
   bool is_target_list_trusted = false;                  ///< `store_adapter`.
   bool is_draining = false;                             ///< `entry_daemon`.
 };
 
 /// @return the VM that holds the target connections of a service: nothing if no VM serves.
 [[nodiscard]] inline std::optional<vm_id> owner_of(const service_id& service, const entry_board& board) {
-  const auto placement = place_service(service, board.members);
-  if (!placement) return std::nullopt;
-  return placement->owner;
+  return board.ownership.owner(service);
 }
 
 /// VMs of a service that watch its primary and may replace it: the owner and those next
@@ -45,14 +44,8 @@
 ///   it does not watch the service.
 [[nodiscard]] inline std::optional<std::size_t> watch_rank(const service_id& service,
                                                            const entry_board& board, const vm_id& self) {
-  std::vector<vm_id> before;
-  while (before.size() < watchers_per_service) {
-    const auto next = next_owner(service, board.members, before);
-    if (!next) return std::nullopt;
-    if (*next == self) return before.size();
-    before.push_back(*next);
-  }
-  return std::nullopt;
+  const auto rank = board.ownership.rank(service, self);
+  return rank && *rank < watchers_per_service ? rank : std::nullopt;
 }
 
 struct entry_context {
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -63,6 +63,7 @@
              observer_for(
                  context, budgets_, membership_, runner_,
                  [this] {
+                   update_ownership();
                    std::vector<caller_session*> all;
                    for (const auto& [key, each] : sessions_) all.push_back(key);
                    for (auto* each : all) each->on_configuration();
@@ -138,7 +139,16 @@
   context_.loop.post([last] {});
 }
 
+void entry_daemon::update_ownership() {
+  std::vector<service_id> services;
+  if (context_.board.environment) {
+    for (const auto& [service, options] : context_.board.environment->services) services.push_back(service);
+  }
+  context_.board.ownership = ownership_table::build(std::move(services), context_.board.members);
+}
+
 void entry_daemon::on_members() {
+  update_ownership();
   std::set<vm_id> unreachable;
   for (const auto& each : context_.board.members) {
     if (each.state != member_state::alive) unreachable.insert(each.vm);
--- a/packages/entry/entry_daemon.h
+++ b/packages/entry/entry_daemon.h
@@ -38,6 +38,7 @@
  private:
   void accept(int handle);
   void forget(caller_session& session);
+  void update_ownership();
   void on_members();
   void on_tick();
   void on_drain_tick();
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -5,7 +5,6 @@
 
 #include "base/log.h"
 #include "entry/statement_wire.h"
-#include "fleet/ownership.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -49,7 +48,7 @@
   for (const auto& [vm, until] : unreachable_until_) {
     if (until > now) failed.push_back(vm);
   }
-  return next_owner(service, context_.board.members, failed);
+  return context_.board.ownership.first_except(service, failed);
 }
 
 void statement_router::run(const work_ptr& item) {
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -82,7 +82,9 @@
   // Placing statements changes the pool, which calls this again.
   if (it == waiting_.end() || it->second.empty() || std::exchange(is_pumping_, true)) return;
   auto& items = it->second;
-  for (auto each = items.begin(); each != items.end();) {
+  // With every slot taken nothing can be placed: the whole queue is not looked through for
+  // each statement that ends.
+  for (auto each = items.begin(); each != items.end() && has_free_slot(service);) {
     const auto item = *each;
     const auto next = std::next(each);
     if (try_place(item)) items.erase(each);
@@ -91,6 +93,11 @@
   is_pumping_ = false;
 }
 
+bool statement_runner::has_free_slot(const service_id& service) const {
+  const auto board = context_.board.services.find(service);
+  return board != context_.board.services.end() && board->second.has_room(extra_running);
+}
+
 std::optional<log_point> statement_runner::required_point(const work_item& item) const {
   if (item.is_for_primary()) return std::nullopt;
   const auto board = context_.board.services.find(item.route->service);
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -47,6 +47,7 @@
  private:
   using queue = std::list<work_ptr>;
 
+  [[nodiscard]] bool has_free_slot(const service_id& service) const;
   [[nodiscard]] bool try_place(const work_ptr& item);
   [[nodiscard]] bool try_idle(const work_ptr& item, const std::vector<target_id>& candidates,
                               const std::optional<log_point>& required);
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "fleet/ownership.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -17,7 +18,6 @@
 
 // A configuration must be in force within 3 s, also if a watch's connection is silent. Two
 // VMs watch it closely; the others hear of a newer one by heartbeats.
-constexpr std::size_t close_watchers = 2;
 constexpr duration close_wait = milliseconds{1'500};
 constexpr duration relaxed_wait = seconds{15};
 const service_id configuration_watch{"configuration"};
@@ -219,8 +219,10 @@
 }
 
 void store_adapter::on_members() {
-  const auto rank = watch_rank(configuration_watch, context_.board, context_.settings.vm);
-  configuration_.set_watch_wait(rank && *rank < close_watchers ? close_wait : relaxed_wait);
+  const auto placement = place_service(configuration_watch, context_.board.members);
+  const auto& self = context_.settings.vm;
+  const bool watches_closely = placement && (placement->owner == self || placement->standby == self);
+  configuration_.set_watch_wait(watches_closely ? close_wait : relaxed_wait);
 }
 
 void store_adapter::claim(const platform::promotion_record& record,
--- a/packages/sql/service_board.cc
+++ b/packages/sql/service_board.cc
@@ -135,6 +135,12 @@
   return it == targets_.end() ? nullptr : &it->second;
 }
 
+bool service_board::has_room(std::uint32_t extra) const {
+  return std::any_of(targets_.begin(), targets_.end(), [extra](const auto& each) {
+    return each.second.running < each.second.info.slots + extra;
+  });
+}
+
 bool service_board::is_eligible(const target_entry& entry, const log_point& required, time_point now) const {
   if (entry.info.is_leaving || entry.blocked_until > now) return false;
   if (primary_ == entry.info.target) return true;
--- a/packages/sql/service_board.h
+++ b/packages/sql/service_board.h
@@ -81,6 +81,10 @@
   /// @return targets from best to worst; empty if none can serve now.
   [[nodiscard]] std::vector<target_id> candidates(const target_request& request, time_point now) const;
 
+  /// @param extra statements beyond its slots that a target is sent.
+  /// @return whether some target can be sent a further statement.
+  [[nodiscard]] bool has_room(std::uint32_t extra) const;
+
   [[nodiscard]] const target_entry* find(const target_id& target) const;
   [[nodiscard]] const std::map<target_id, target_entry>& targets() const noexcept { return targets_; }
   [[nodiscard]] freshness_log& samples() noexcept { return samples_; }
--- a/packages/sql/service_board_test.cc
+++ b/packages/sql/service_board_test.cc
@@ -119,5 +119,19 @@
   CHECK(board.leaderless_since() == start + milliseconds{5});
 }
 
+// Guards against a queue that is looked through again and again while every slot is taken.
+TEST_CASE("A service has room until each target runs its slots and the statements sent ahead") {
+  auto board = board_of_three();
+  for (const auto& target : {first, second, third}) {
+    for (int i = 0; i < 3; ++i) {
+      CHECK(board.has_room(1));
+      board.on_started(target);
+    }
+  }
+  CHECK_FALSE(board.has_room(1));
+  board.on_finished(second);
+  CHECK(board.has_room(1));
+}
+
 }  // namespace
 }  // namespace bulrushlift::sql
