Bound the log lines of each event; explain a request from its id

An on-call engineer had to join the logs of several VMs by hand.

Change: a token bucket for each event (base/log_limiter, setting log_lines_per_second, 100 with a burst of 2 s); what it leaves out is counted in log_lines_limited once a second. "bulrushlift explain ID LOG..." tells the lines of a request with what all VMs logged about its service, targets, members and store around that time; tests on recorded lines for the three kinds of failure of docs/OPERATIONS.md.

--- a/packages/base/log.cc
+++ b/packages/base/log.cc
@@ -11,6 +11,9 @@
 #include <ctime>
 #include <iterator>
 
+#include "base/clock.h"
+#include "base/log_limiter.h"
+
 namespace bulrushlift {
 namespace {
 
@@ -66,6 +69,11 @@
                      millis);
 }
 
+log_limiter& limiter() {
+  static log_limiter instance{0};
+  return instance;
+}
+
 void set_nonblocking(int descriptor) {
   const int flags = ::fcntl(descriptor, F_GETFL);
   if (flags >= 0) ::fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
@@ -107,10 +115,23 @@
   return instance;
 }
 
+/// Writes a line that the limits allow.
+void write_line(log_level level, std::string_view event, log_fields fields) {
+  auto line = internal::format_line(level, wall_time(), options().vm, event, fields);
+  line.push_back('\n');
+  if (options().output == log_output::standard_output) {
+    standard_output().write(line);
+    return;
+  }
+  // One call for each line keeps lines of several processes on one pipe whole.
+  std::fwrite(line.data(), 1, line.size(), stderr);
+}
+
 }  // namespace
 
 void configure_logs(log_options value) {
   if (value.output == log_output::standard_output) set_nonblocking(STDOUT_FILENO);
+  limiter() = log_limiter{value.lines_per_second};
   options() = std::move(value);
 }
 
@@ -124,15 +145,14 @@
 }
 
 void log_line(log_level level, std::string_view event, log_fields fields) {
-  if (!is_logged(level)) return;
-  auto line = internal::format_line(level, wall_time(), options().vm, event, fields);
-  line.push_back('\n');
-  if (options().output == log_output::standard_output) {
-    standard_output().write(line);
-    return;
+  if (!is_logged(level) || !limiter().admit(event, system_clock{}.now())) return;
+  write_line(level, event, fields);
+}
+
+void report_omitted_lines() {
+  for (const auto& each : limiter().take_omitted()) {
+    write_line(log_level::warning, "log_lines_limited", {{"of_event", each.event}, {"count", each.count}});
   }
-  // One call for each line keeps lines of several processes on one pipe whole.
-  std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
 void log_debug(std::string_view event, log_fields fields) { log_line(log_level::debug, event, fields); }
--- a/packages/base/log.h
+++ b/packages/base/log.h
@@ -49,6 +49,8 @@
   std::string vm;  ///< Written into each line when not empty.
   /// One of this many routing decisions is written; warnings and errors always are.
   std::uint32_t decision_sampling = 1;
+  /// Of each event; 0 sets no bound. Lines beyond it are counted by `report_omitted_lines`.
+  std::uint32_t lines_per_second = 0;
 };
 
 /// Replaces the process-wide configuration. Call before the first log line.
@@ -63,6 +65,10 @@
 /// Writes one line. `event` names what happened, in snake case.
 void log_line(log_level level, std::string_view event, log_fields fields);
 
+/// Writes a line `log_lines_limited` for each event of which lines were left out since the
+/// last call. Call about once a second.
+void report_omitted_lines();
+
 void log_debug(std::string_view event, log_fields fields = {});
 void log_info(std::string_view event, log_fields fields = {});
 void log_warning(std::string_view event, log_fields fields = {});
--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -38,6 +38,7 @@
 [[nodiscard]] std::vector<command> document_commands();
 [[nodiscard]] std::vector<command> customer_commands();
 [[nodiscard]] std::vector<command> fleet_commands();
+[[nodiscard]] std::vector<command> log_commands();
 
 /// Runs the program.
 /// @param arguments without the program's name.
--- a/packages/cli/commands_test.cc
+++ b/packages/cli/commands_test.cc
@@ -203,7 +203,7 @@
 TEST_CASE("each command has help with an example that names it") {
   cli_fixture it;
   REQUIRE(it.run({"--help"}) == 0);
-  for (auto commands : {document_commands(), customer_commands(), fleet_commands()}) {
+  for (auto commands : {document_commands(), customer_commands(), fleet_commands(), log_commands()}) {
     for (const auto& command : commands) {
       CHECK(it.out.find("  " + command.usage) != std::string::npos);
       CHECK(command.example.starts_with(command.name));
--- /dev/null
+++ b/packages/cli/request_story.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+
+/// @file
+/// The story of one request from the logs of all VMs: the lines that name it, and what was
+/// logged around that time about its service, its targets and the VMs and store behind it.
+
+namespace bulrushlift {
+
+struct story_line {
+  std::string time;  ///< As logged, UTC.
+  std::string vm;
+  std::string event;
+  std::string details;  ///< The other fields, "name=value".
+  std::string json;     ///< The line as it was logged.
+  bool is_of_request = false;
+
+  friend bool operator==(const story_line&, const story_line&) = default;
+};
+
+/// @param lines of the logs of one or more VMs, in any order; what is no JSON object is skipped.
+/// @return the story in order of time, or `not_found` if no line names the request.
+[[nodiscard]] result<std::vector<story_line>> tell_request(const std::string& request_id,
+                                                           const std::vector<std::string>& lines);
+
+}  // namespace bulrushlift
--- /dev/null
+++ b/packages/cli/request_story_test.cc
@@ -0,0 +1,76 @@
+#include "cli/request_story.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace bulrushlift {
+namespace {
+
+std::string line(const std::string& time, const std::string& vm, const std::string& event,
+                 const std::string& fields) {
+  return R"({"time":"2026-12-04T10:21:)" + time + R"(Z","level":"info","vm":")" + vm + R"(","event":")" +
+         event + '"' + (fields.empty() ? "" : "," + fields) + "}";
+}
+
+std::vector<std::string> events(const std::vector<story_line>& story) {
+  std::vector<std::string> names;
+  for (const auto& each : story) names.push_back(each.event);
+  return names;
+}
+
+// A statement that was refused during a failover, as three VMs logged it.
+std::vector<std::string> failover_log() {
+  return {
+      line("17.900", "entry-2", "statement_failed",
+           R"("request_id":"q7","service":"ledger","error":"busy","reason":"no free slot in time")"),
+      line("16.100", "entry-2", "primary_lost", R"("service":"ledger","reason":"unreachable")"),
+      line("16.400", "entry-1", "promotion_claimed", R"("service":"ledger","target":"i-b")"),
+      line("16.500", "entry-1", "primary_lost", R"("service":"stock","reason":"leaving")"),
+      line("16.600", "entry-0", "store_lost", R"("kind":"config")"),
+      line("17.000", "entry-2", "statement_failed", R"("request_id":"q8","service":"ledger","error":"busy")"),
+      line("02.000", "entry-2", "primary_changed", R"("service":"ledger","to":"i-a")"),
+      "  16.6 entry-2 not a log line",
+  };
+}
+
+// Guards against an on-call engineer who sees the refusal and not what caused it on other VMs.
+TEST_CASE("A refused request is told with the failover of its service on other VMs") {
+  const auto story = tell_request("q7", failover_log());
+  REQUIRE(story);
+  CHECK(events(*story) ==
+        std::vector<std::string>{"primary_lost", "promotion_claimed", "store_lost", "statement_failed"});
+  CHECK(story->front().details == "reason=unreachable service=ledger");
+  CHECK(story->back().is_of_request);
+  CHECK_FALSE(story->front().is_of_request);
+}
+
+TEST_CASE("A statement with an unknown outcome is told with the VM that it was relayed to") {
+  const auto story = tell_request(
+      "q3", {line("17.150", "entry-0", "relay_failed",
+                  R"("request_id":"q3","owner":"entry-1","service":"ledger","outcome":"unknown")"),
+             line("16.900", "entry-0", "member_changed", R"("member":"entry-1","state":"suspect")"),
+             line("17.300", "entry-2", "primary_changed", R"("service":"ledger","to":"i-b")")});
+  REQUIRE(story);
+  CHECK(events(*story) == std::vector<std::string>{"member_changed", "relay_failed", "primary_changed"});
+}
+
+TEST_CASE("A read of a promoted target is told with the promotion, whatever prefix a collector adds") {
+  auto lines = failover_log();
+  for (auto& each : lines) each = "  17.3 entry-2 " + each;
+  lines.push_back(line("17.950", "entry-1", "statement_failed",
+                       R"("request_id":"q9","service":"ledger","target":"i-b","error":"aborted")"));
+  const auto story = tell_request("q9", lines);
+  REQUIRE(story);
+  CHECK(events(*story).back() == "statement_failed");
+  CHECK(events(*story)[1] == "promotion_claimed");
+}
+
+TEST_CASE("A request that no line names is not found") {
+  const auto story = tell_request("q0", failover_log());
+  REQUIRE_FALSE(story);
+  CHECK(story.error().kind == error_kind::not_found);
+}
+
+}  // namespace
+}  // namespace bulrushlift
--- a/packages/cli/run.cc
+++ b/packages/cli/run.cc
@@ -25,6 +25,7 @@
   auto commands = document_commands();
   for (auto& it : customer_commands()) commands.push_back(std::move(it));
   for (auto& it : fleet_commands()) commands.push_back(std::move(it));
+  for (auto& it : log_commands()) commands.push_back(std::move(it));
   return commands;
 }
 
--- a/packages/daemon/bulrushliftd_main.cc
+++ b/packages/daemon/bulrushliftd_main.cc
@@ -52,6 +52,7 @@
   logs.level = options->level;
   logs.vm = options->vm.str();
   logs.output = log_output::standard_output;
+  logs.lines_per_second = options->log_lines_per_second;
   configure_logs(logs);
 
   entry::entry_context context{*options, start_incarnation(), random_seed()};
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -63,6 +63,10 @@
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
     if (!is_known) return wrong("log_level", "is none of debug, info, warning, error");
   }
+  if (const auto it = document.find("log_lines_per_second"); it != document.end()) {
+    if (!it->is_number_unsigned()) return wrong("log_lines_per_second", "is not a whole number");
+    out.log_lines_per_second = it->get<std::uint32_t>();
+  }
   return out;
 }
 
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,8 @@
   net_address promotions;                         ///< Where promotions are ordered.
   duration drain_time = std::chrono::seconds{5};  ///< From SIGTERM to the kill.
   log_level level = log_level::info;
+  /// Log lines of each event; an engineer needs examples of a refusal, not each of them.
+  std::uint32_t log_lines_per_second = 100;
 
   friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
--- a/packages/entry/statement_upkeep.cc
+++ b/packages/entry/statement_upkeep.cc
@@ -33,6 +33,7 @@
   const auto now = context_.loop.now();
   if (now - load_reported_ < load_report_interval) return;
   load_reported_ = now;
+  report_omitted_lines();
   for (const auto& [service, items] : waiting_) {
     if (items.empty()) continue;
     for (const auto& [id, entry] : context_.board.services[service].targets()) {
--- a/packages/soak/soak_main.cc
+++ b/packages/soak/soak_main.cc
@@ -92,6 +92,12 @@
   }
   const auto self = std::filesystem::canonical("/proc/self/exe");
   options.world.daemon = (self.parent_path() / "bulrushliftd").string();
+  const auto ports = free_ports(options.world.vms * ports_per_vm);
+  if (!ports) {
+    fmt::print(stderr, "soak: {}\n", ports.error().message);
+    return EXIT_FAILURE;
+  }
+  options.world.ports = *ports;
   std::uint64_t failed = 0;
   for (std::uint64_t i = 0; i < options.runs; ++i) {
     auto world = options.world;
--- a/packages/soak/soak_world.cc
+++ b/packages/soak/soak_world.cc
@@ -21,7 +21,6 @@
 const std::vector<std::string> targets{"i-a", "i-b", "i-c"};
 const std::vector<customer_description> customers{{"shop", {"key-shop"}}, {"other", {"key-other"}}};
 
-constexpr std::size_t ports_per_vm = 4;
 constexpr duration reap_interval = milliseconds{20};
 constexpr duration loop_step = milliseconds{5};
 
@@ -59,13 +58,16 @@
 soak_world::~soak_world() = default;
 
 void soak_world::make_vms() {
-  const auto ports = free_ports(options_.vms * ports_per_vm);
-  if (!ports) throw std::runtime_error{ports.error().message};
+  if (options_.ports.empty()) {
+    const auto ports = free_ports(options_.vms * ports_per_vm);
+    if (!ports) throw std::runtime_error{ports.error().message};
+    options_.ports = *ports;
+  }
   vms_.resize(options_.vms);
   for (std::size_t i = 0; i < vms_.size(); ++i) {
     auto& each = vms_[i];
     each.name = fmt::format("entry-{}", i);
-    const auto first = ports->begin() + static_cast<std::ptrdiff_t>(i * ports_per_vm);
+    const auto first = options_.ports.begin() + static_cast<std::ptrdiff_t>(i * ports_per_vm);
     each.ports.assign(first, first + ports_per_vm);
     each.callers_way = std::make_unique<fault_proxy>(loop_, net_address{"127.0.0.1", each.ports[0]});
     each.store_way = std::make_unique<fault_proxy>(loop_, *parse_address(platform_->address()));
--- a/packages/soak/soak_world.h
+++ b/packages/soak/soak_world.h
@@ -20,11 +20,16 @@
 
 namespace bulrushlift::soak {
 
+inline constexpr std::size_t ports_per_vm = 4;
+
 struct soak_options {
   std::uint64_t seed = 1;
   std::chrono::milliseconds span{10'000};  ///< Of the traffic under faults.
   std::size_t vms = 3;
   std::size_t callers = 12;
+  /// Four for each VM; empty: free ones are chosen. Runs in sequence share them, because a
+  /// port is unused while its VM restarts and another process could take it then.
+  std::vector<std::uint16_t> ports;
   std::string daemon;  ///< Path of bulrushliftd.
   std::string folder;  ///< For settings and logs; made anew.
 };
