Let a customer's burst flow in over the operators' window

Cause: the operators grant rate x 5 s + burst operations in any 5 s, and what is refused below that is lost.

The line over_rate names its request.

--- a/packages/entry/budget_port.cc
+++ b/packages/entry/budget_port.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "limits/rate_window.h"
 #include "peers/loan_wire.h"
 
 namespace bulrushlift::entry {
@@ -40,8 +41,10 @@
   budget_document document;
   for (const auto& [vm, record] : context_.board.vms) document.vms.push_back(vm);
   for (const auto& [customer, options] : context_.board.environment->customers) {
+    const auto bucket =
+        bucket_within_window({options.rate_per_second, options.burst}, context_.settings.rate_window);
     document.customers.emplace(customer,
-                               budget_share{tokens_of(options.rate_per_second), tokens_of(options.burst)});
+                               budget_share{tokens_of(bucket.rate_per_second), tokens_of(bucket.burst)});
   }
   if (document == document_) return;
   document_ = document;
--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -239,9 +239,10 @@
   answer_complete("");
 }
 
-void caller_session::admit(const access& allowed, std::function<void()> next) {
+void caller_session::admit(const sql::statement& statement, const access& allowed,
+                           std::function<void()> next) {
   is_busy_ = true;
-  budgets_.admit(allowed.customer, [this, alive = is_alive_, customer = allowed.customer,
+  budgets_.admit(allowed.customer, [this, alive = is_alive_, customer = allowed.customer, id = statement.id,
                                     next = std::move(next)](bool is_admitted) {
     if (!*alive || is_over_) return;
     if (is_admitted) {
@@ -250,7 +251,7 @@
     }
     is_busy_ = false;
     context_.counters.counter("refused_over_rate_total").add();
-    log_info("over_rate", {{"customer", customer.str()}, {"database", database_}});
+    log_info("over_rate", {{"request_id", id}, {"customer", customer.str()}, {"database", database_}});
     answer_error(caller_error::busy, "over the customer's rate");
     process();
   });
@@ -266,7 +267,7 @@
     refuse_and_close(*refusal, "no longer in the configuration");
     return;
   }
-  admit(allowed, [this, statement, allowed] {
+  admit(statement, allowed, [this, statement, allowed] {
     is_busy_ = false;
     transaction_ = transaction{};
     transaction_->begin = statement;
@@ -295,7 +296,7 @@
     refuse_and_close(*refusal, "no longer in the configuration");
     return;
   }
-  admit(allowed, [this, statement, allowed] { run(statement, allowed); });
+  admit(statement, allowed, [this, statement, allowed] { run(statement, allowed); });
 }
 
 void caller_session::run(const sql::statement& statement, const access& allowed) {
--- a/packages/entry/caller_session.h
+++ b/packages/entry/caller_session.h
@@ -81,7 +81,7 @@
   void on_failed_transaction(const sql::statement& statement);
 
   [[nodiscard]] std::optional<sql::caller_error> find_access(access& out) const;
-  void admit(const access& allowed, std::function<void()> next);
+  void admit(const sql::statement& statement, const access& allowed, std::function<void()> next);
   void run(const sql::statement& statement, const access& allowed);
   void on_result(const sql::statement& statement, const work_result& result);
   void take_transaction_result(const sql::statement& statement, const work_result& result);
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -36,6 +36,15 @@
   return std::nullopt;
 }
 
+/// Reads an optional field. @return the error that stopped it, if any.
+std::optional<error> read_seconds(const json& object, const char* name, duration& out) {
+  const auto it = object.find(name);
+  if (it == object.end()) return std::nullopt;
+  if (!it->is_number() || it->get<double>() <= 0) return wrong(name, "is not a positive number").value();
+  out = std::chrono::duration_cast<duration>(std::chrono::duration<double>{it->get<double>()});
+  return std::nullopt;
+}
+
 }  // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text) {
@@ -55,10 +64,9 @@
   check(store(address_field(document, "store"), out.store));
   check(store(address_field(document, "promotions"), out.promotions));
   if (failure) return tl::unexpected<error>(std::move(*failure));
-  if (const auto it = document.find("drain_seconds"); it != document.end()) {
-    if (!it->is_number() || it->get<double>() <= 0) return wrong("drain_seconds", "is not a positive number");
-    out.drain_time = std::chrono::duration_cast<duration>(std::chrono::duration<double>{it->get<double>()});
-  }
+  check(read_seconds(document, "drain_seconds", out.drain_time));
+  check(read_seconds(document, "rate_window_seconds", out.rate_window));
+  if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
     if (!is_known) return wrong("log_level", "is none of debug, info, warning, error");
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -26,6 +26,8 @@
   net_address store;                              ///< The platform's metadata store.
   net_address promotions;                         ///< Where promotions are ordered.
   duration drain_time = std::chrono::seconds{5};  ///< From SIGTERM to the kill.
+  /// Over which the operators count a customer's rate and burst; zero: no window.
+  duration rate_window{};
   log_level level = log_level::info;
   /// Log lines of each event; an engineer needs examples of a refusal, not each of them.
   std::uint32_t log_lines_per_second = 100;
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -10,7 +10,7 @@
   return "{\n  // one proxy\n  " + vm + R"(, "data_centre": "thies", "caller_listen": "10.0.0.1:1",
     "readiness_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3", "metrics_listen": "10.0.0.1:4",
     "store": "10.0.0.9:5", "promotions": "10.0.0.9:6", "drain_seconds": 6, "log_level": "warning",
-    "log_lines_per_second": 20})";
+    "rate_window_seconds": 5, "log_lines_per_second": 20})";
 }
 
 TEST_CASE("Settings with comments are read") {
@@ -21,6 +21,7 @@
   CHECK(parsed->drain_time == std::chrono::seconds{6});
   CHECK(parsed->level == log_level::warning);
   CHECK(parsed->log_lines_per_second == 20);
+  CHECK(parsed->rate_window == std::chrono::seconds{5});
 }
 
 TEST_CASE("Wrong settings name the field") {
@@ -31,6 +32,11 @@
   REQUIRE_FALSE(empty);
   CHECK(empty.error().message == "vm: is not a text");
   CHECK_FALSE(parse_entry_settings("{"));
+  auto text = settings_text();
+  text.replace(text.find(": 6"), 3, ": -6");
+  const auto negative = parse_entry_settings(text);
+  REQUIRE_FALSE(negative);
+  CHECK(negative.error().message == "drain_seconds: is not a positive number");
 }
 
 }  // namespace
