Keep the transactions of a VM that drains

The logs show up to 13 lines relayed_transaction_ended a second at the owners from the moment that a VM announces its drain. The owner ended each relayed transaction between two statements when its VM was not "serving", and a leaving VM is not; its sessions have half of the drain time to end them.

Ruled out: the transactions of sessions that had ended (drain_started counts open sessions, and the same lines are missing for VMs that stay).

Change: only the transactions of a dead or unknown VM are ended. The path test commits a transaction through a draining VM and failed before.

--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -250,5 +250,23 @@
   CHECK(count_runs(world, "t1") <= 1);
 }
 
+// Guards against an owner that ends the transactions of a VM as soon as that VM drains,
+// although their sessions have half of the drain time to end them.
+TEST_CASE("A transaction goes on while the VM of its session drains") {
+  session_world world{"session_draining", 3};
+  const std::size_t other = world.owner() == 0 ? 1 : 0;
+  const auto caller = world.session(other, "orders");
+  CHECK(caller->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
+  CHECK(caller->ask_joined("QUERY t1 WRITE hide 7").starts_with("COMPLETE signed|READY T"));
+
+  world.process(other).signal(SIGTERM);
+  // Several ticks of the owner after it heard that the VM leaves.
+  world.loop.run_for(std::chrono::milliseconds{500});
+
+  CHECK(caller->ask_joined("QUERY t2 READ hide").starts_with("ROW 7|COMPLETE signed|READY T"));
+  CHECK(caller->ask_joined("QUERY c1 COMMIT").starts_with("COMPLETE signed|READY I"));
+  CHECK(world.database->value_of("hide") == "7");
+}
+
 }  // namespace
 }  // namespace bulrushlift::entry
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -1,5 +1,6 @@
 #include "entry/statement_router.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -26,11 +27,11 @@
 constexpr duration idle_allowance = milliseconds{500};
 constexpr duration default_idle_limit = std::chrono::seconds{3};
 
-bool is_serving_member(const std::vector<member>& members, const vm_id& vm) {
-  for (const auto& each : members) {
-    if (each.vm == vm) return is_serving(each.state);
-  }
-  return false;
+/// A VM that leaves takes no new sessions but completes those that it has.
+bool may_have_sessions(const std::vector<member>& members, const vm_id& vm) {
+  const auto it =
+      std::find_if(members.begin(), members.end(), [&](const member& each) { return each.vm == vm; });
+  return it != members.end() && it->state != member_state::dead;
 }
 
 }  // namespace
@@ -236,7 +237,7 @@
   for (const auto& [number, each] : relayed_) {
     if (each.is_running) continue;
     const bool is_silent = now - each.last_used >= limit;
-    if (is_silent || !is_serving_member(context_.board.members, each.sender)) lost.push_back(number);
+    if (is_silent || !may_have_sessions(context_.board.members, each.sender)) lost.push_back(number);
   }
   for (const auto number : lost) {
     const auto node = relayed_.extract(number);
