--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "base/log.h"
@@ -60,34 +61,40 @@
 void statement_runner::cancel(const work_ptr& item) {
   item->is_cancelled = true;
   const auto it = waiting_.find(item->route->service);
-  if (it != waiting_.end()) it->second.remove(item);
+  if (it != waiting_.end()) it->second.items.remove(item);
 }
 
 void statement_runner::enqueue(const work_ptr& item) {
-  auto& items = waiting_[item->route->service];
-  // More urgent routes first, then the order of arrival.
-  const auto place = std::find_if(items.begin(), items.end(), [&](const work_ptr& each) {
-    if (each->route->priority != item->route->priority) return each->route->priority > item->route->priority;
-    return each->arrived > item->arrived;
-  });
+  auto& [turns, items] = waiting_[item->route->service];
+  // A statement that is tried again keeps its turn.
+  if (item->turn == 0) item->turn = turns.join(item->customer);
+  // More urgent routes first, then the customers in turn, then the order of arrival.
+  const auto key = [](const work_item& each) {
+    return std::tuple{each.route->priority, each.turn, each.arrived};
+  };
+  const auto place =
+      std::find_if(items.begin(), items.end(), [&](const work_ptr& each) { return key(*each) > key(*item); });
   items.insert(place, item);
 }
 
 void statement_runner::pump_all() {
-  for (const auto& [service, items] : waiting_) pump(service);
+  for (const auto& [service, queue] : waiting_) pump(service);
 }
 
 void statement_runner::pump(const service_id& service) {
   const auto it = waiting_.find(service);
   // Placing statements changes the pool, which calls this again.
-  if (it == waiting_.end() || it->second.empty() || std::exchange(is_pumping_, true)) return;
-  auto& items = it->second;
+  if (it == waiting_.end() || it->second.items.empty() || std::exchange(is_pumping_, true)) return;
+  auto& [turns, items] = it->second;
   // With every slot taken nothing can be placed: the whole queue is not looked through for
   // each statement that ends.
   for (auto each = items.begin(); each != items.end() && has_free_slot(service);) {
     const auto item = *each;
     const auto next = std::next(each);
-    if (try_place(item)) items.erase(each);
+    if (try_place(item)) {
+      turns.on_served(item->turn);
+      items.erase(each);
+    }
     each = next;
   }
   is_pumping_ = false;
@@ -143,7 +150,7 @@
 
 void statement_runner::open_for(const work_ptr& item, const std::vector<target_id>& candidates) {
   const auto& service = item->route->service;
-  const auto& items = waiting_[service];
+  const auto& items = waiting_[service].items;
   const auto wanted = static_cast<std::size_t>(std::count_if(
       items.begin(), items.end(), [&](const work_ptr& each) { return each->customer == item->customer; }));
   for (const auto& target : candidates) {
@@ -400,7 +407,7 @@
 
 std::size_t statement_runner::waiting_count() const {
   std::size_t sum = 0;
-  for (const auto& [service, items] : waiting_) sum += items.size();
+  for (const auto& [service, queue] : waiting_) sum += queue.items.size();
   return sum;
 }
 
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -9,6 +9,7 @@
 #include "entry/connection_pool.h"
 #include "entry/entry_context.h"
 #include "entry/work_item.h"
+#include "sql/fair_turns.h"
 
 /// @file
 /// Carries statements to targets: waits for a suitable connection, sends, judges the
@@ -45,7 +46,11 @@
   static constexpr duration tick_interval = std::chrono::milliseconds{20};
 
  private:
-  using queue = std::list<work_ptr>;
+  /// Statements of one service that wait for a slot.
+  struct waiting_queue {
+    sql::fair_turns turns;
+    std::list<work_ptr> items;
+  };
 
   [[nodiscard]] bool has_free_slot(const service_id& service) const;
   [[nodiscard]] bool try_place(const work_ptr& item);
@@ -80,7 +85,7 @@
 
   entry_context& context_;
   connection_pool pool_;
-  std::map<service_id, queue> waiting_;
+  std::map<service_id, waiting_queue> waiting_;
   std::map<target_id, time_point> probed_;
   time_point load_reported_{};
   std::map<service_id, target_id> primaries_;  ///< As last logged; empty for none.
--- a/packages/entry/statement_upkeep.cc
+++ b/packages/entry/statement_upkeep.cc
@@ -34,13 +34,17 @@
   if (now - load_reported_ < load_report_interval) return;
   load_reported_ = now;
   report_omitted_lines();
-  for (const auto& [service, items] : waiting_) {
+  for (const auto& [service, queue] : waiting_) {
+    const auto& items = queue.items;
     if (items.empty()) continue;
+    const auto oldest =
+        std::min_element(items.begin(), items.end(),
+                         [](const work_ptr& a, const work_ptr& b) { return a->arrived < b->arrived; });
     for (const auto& [id, entry] : context_.board.services[service].targets()) {
       log_info("target_load", {{"service", service.str()},
                                {"target", id.str()},
                                {"waiting", std::uint64_t{items.size()}},
-                               {"oldest_ms", now - items.front()->arrived},
+                               {"oldest_ms", now - (*oldest)->arrived},
                                {"running", std::uint64_t{entry.running}},
                                {"idle", std::uint64_t{pool_.count(id, connection_use::idle)}},
                                {"busy", std::uint64_t{pool_.count(id, connection_use::busy)}},
@@ -53,8 +57,8 @@
 void statement_runner::expire() {
   const auto now = context_.loop.now();
   std::vector<work_ptr> expired;
-  for (auto& [service, items] : waiting_) {
-    items.remove_if([&](const work_ptr& each) {
+  for (auto& [service, queue] : waiting_) {
+    queue.items.remove_if([&](const work_ptr& each) {
       if (each->wait_end > now) return false;
       expired.push_back(each);
       return true;
--- a/packages/entry/work_item.h
+++ b/packages/entry/work_item.h
@@ -51,7 +51,8 @@
   callback done;
 
   // State of the router and of the runner.
-  time_point wait_end{};  ///< When waiting for a slot ends with a refusal.
+  std::uint64_t turn = 0;  ///< Place among the customers' waiting statements.
+  time_point wait_end{};   ///< When waiting for a slot ends with a refusal.
   std::uint32_t relays = 0;
   std::uint32_t attempts = 0;
   time_point not_before{};                        ///< Pause before the next attempt.
