--- /dev/null
+++ b/packages/entry/statement_rollback.cc
@@ -0,0 +1,41 @@
+#include "entry/statement_runner.h"
+
+// The part of the statement runner that ends transactions.
+
+namespace bulrushlift::entry {
+namespace {
+
+// Time that the target has to end a transaction before its connection is closed.
+constexpr duration rollback_timeout = std::chrono::milliseconds{500};
+
+}  // namespace
+
+void statement_runner::roll_back(const connection_pool::connection_ptr& connection) {
+  roll_back(connection, sql::statement{});
+}
+
+void statement_runner::roll_back(const connection_pool::connection_ptr& connection,
+                                 const sql::statement& statement) {
+  if (!connection->io.is_open() || connection->io.is_busy()) {
+    pool_.discard(connection);
+    return;
+  }
+  sql::target_command command{sql::command_kind::rollback};
+  if (!statement.id.empty()) {
+    command.kind = sql::command_kind::forward;
+    command.id = statement.id;
+    command.text = statement.text;
+  }
+  connection->give_up = context_.loop.now() + rollback_timeout;
+  connection->io.run({command}, [this, connection](const platform::batch_result& result) {
+    const bool is_ended = result.is_complete && !result.replies.empty() &&
+                          result.replies.back().state == sql::transaction_state::none;
+    if (is_ended) {
+      pool_.release(connection);
+    } else {
+      pool_.discard(connection);
+    }
+  });
+}
+
+}  // namespace bulrushlift::entry
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -39,9 +39,6 @@
 // while the next statement is on its way.
 constexpr std::uint32_t extra_running = 1;
 
-// Time that the target has to end a transaction before its connection is closed.
-constexpr duration rollback_timeout = milliseconds{500};
-
 }  // namespace
 
 statement_runner::statement_runner(entry_context& context)
@@ -377,34 +374,6 @@
   item->done(std::move(result));
 }
 
-void statement_runner::roll_back(const connection_pool::connection_ptr& connection) {
-  roll_back(connection, sql::statement{});
-}
-
-void statement_runner::roll_back(const connection_pool::connection_ptr& connection,
-                                 const sql::statement& statement) {
-  if (!connection->io.is_open() || connection->io.is_busy()) {
-    pool_.discard(connection);
-    return;
-  }
-  sql::target_command command{sql::command_kind::rollback};
-  if (!statement.id.empty()) {
-    command.kind = sql::command_kind::forward;
-    command.id = statement.id;
-    command.text = statement.text;
-  }
-  connection->give_up = context_.loop.now() + rollback_timeout;
-  connection->io.run({command}, [this, connection](const platform::batch_result& result) {
-    const bool is_ended = result.is_complete && !result.replies.empty() &&
-                          result.replies.back().state == sql::transaction_state::none;
-    if (is_ended) {
-      pool_.release(connection);
-    } else {
-      pool_.discard(connection);
-    }
-  });
-}
-
 std::size_t statement_runner::waiting_count() const {
   std::size_t sum = 0;
   for (const auto& [service, queue] : waiting_) sum += queue.items.size();
--- a/packages/soak/soak_caller.cc
+++ b/packages/soak/soak_caller.cc
@@ -4,10 +4,10 @@
 
 #include <algorithm>
 #include <array>
-#include <set>
 #include <utility>
 
 #include "standins/session_documents.h"
+#include "standins/session_lines.h"
 
 namespace bulrushlift::soak {
 namespace {
@@ -28,10 +28,6 @@
 
 constexpr std::array<const char*, 3> databases{"orders", "stock", "book"};
 
-// Errors that promise that nothing is kept.
-const std::set<std::string, std::less<>> promises{"BUSY",     "ABORTED", "LAGGING",
-                                                  "READONLY", "TOOMANY", "MISROUTED"};
-
 std::uint64_t number_of(const std::string& text) { return text.empty() ? 0 : std::stoull(text); }
 
 }  // namespace
@@ -68,7 +64,7 @@
   step_ = step::session;
   waits_for_answer_ = true;
   silence_timer_.set(patience, [this] { on_silence(); });
-  stream_->write(fmt::format("START {} {}\r\n", databases[static_cast<std::size_t>(level_)], identity_.key));
+  stream_->write(session_line(databases[static_cast<std::size_t>(level_)], identity_.key));
 }
 
 void soak_caller::reconnect() {
@@ -121,7 +117,7 @@
   context_.sent.emplace(id_, sent_statement{text, identity_.customer, values_,
                                             is_in_transaction_ ? transaction_ : std::string{}});
   silence_timer_.set(patience, [this] { on_silence(); });
-  stream_->write(fmt::format("QUERY {} {}\r\n", id_, text));
+  stream_->write(statement_line(id_, text));
 }
 
 void soak_caller::next_operation() {
@@ -259,7 +255,7 @@
 
 void soak_caller::on_error(const std::string& code) {
   const bool is_final = step_ == step::commit || (step_ == step::write && !is_in_transaction_);
-  end_writes(is_final && !promises.contains(code) ? fate::unknown : fate::refused);
+  end_writes(is_final && !is_promise(code) ? fate::unknown : fate::refused);
   reconnect();
 }
 
