--- a/packages/soak/soak_path_test.cc
+++ b/packages/soak/soak_path_test.cc
@@ -17,9 +17,11 @@
   return world.run();
 }
 
-// Guards against faults in combination that break what callers were promised.
+// Guards against faults in combination that break what callers were promised. Seeds from 11 on
+// have broken a promise: a paused owner ran the first statement of a transaction a second time,
+// after another VM had run it and the transaction was over.
 TEST_CASE("Promises hold while faults come in series and overlap") {
-  const auto seed = GENERATE(std::uint64_t{1}, std::uint64_t{2});
+  const auto seed = GENERATE(as<std::uint64_t>{}, 1, 2, 11, 12, 20, 23);
   const auto outcome = play(seed);
   CAPTURE(seed, outcome.done, outcome.refused, outcome.unknown, outcome.promotions);
   for (const auto& each : outcome.violations) {
