Count a customer's operations in the operators' window, at three home VMs

A customer's token bucket held two fifths of its burst, spread over five home VMs: a small customer had less than one token at each, and clusters of requests found none. The rule counts operations in a sliding window, which is wider than that bucket.

Change: limits/window_limiter counts what a home VM admitted in the window, exactly, and paces admissions by a bucket whose capacity follows the demand. Three home VMs hold a customer's limit in place of five, fewer if the limit is small. Lent tokens count as spent when the loan expires.

--- a/packages/entry/budget_adapter.cc
+++ b/packages/entry/budget_adapter.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "limits/rate_window.h"
 #include "peers/loan_wire.h"
 
 namespace bulrushlift::entry {
@@ -14,10 +13,14 @@
 
 millitokens to_millitokens(double value) { return millitokens{std::llround(value * 1'000)}; }
 
-budget_options options() {
+// With three home VMs, two hold enough of a customer's limit for its usual demand.
+constexpr std::size_t homes_per_customer = 3;
+
+budget_options options_of(const entry_settings& settings) {
   budget_options value;
-  // The operators require a configuration to be in force on all VMs within this time.
-  value.dissemination_bound = std::chrono::seconds{3};
+  value.window = settings.rate_window;
+  value.homes_per_customer = homes_per_customer;
+  value.dissemination_bound = settings.configuration_bound;
   // The loans of the previous process of this VM must have expired. Until the other VMs know a new
   // VM, the shares may add up to more than the budget; the operators tolerate that.
   value.start_delay = value.outstanding_time();
@@ -29,7 +32,8 @@
 budget_adapter::budget_adapter(entry_context& context, peer_adapter& peers)
     : context_(context),
       peers_(peers),
-      controller_(context.settings.vm, context.incarnation, options()),
+      options_(options_of(context.settings)),
+      controller_(context.settings.vm, context.incarnation, options_),
       timer_(context.loop) {
   peers_.on_loan_request([this](const peer::envelope_t& message, const peer_responder& respond) {
     on_message(message, respond);
@@ -41,10 +45,8 @@
   budget_document document;
   for (const auto& [vm, record] : context_.shared.vms) document.vms.push_back(vm);
   for (const auto& [customer, options] : context_.shared.environment->customers) {
-    const auto bucket =
-        bucket_within_window({options.rate_per_second, options.burst}, context_.settings.rate_window);
     document.customers.emplace(
-        customer, budget_share{to_millitokens(bucket.rate_per_second), to_millitokens(bucket.burst)});
+        customer, budget_share{to_millitokens(options.rate_per_second), to_millitokens(options.burst)});
   }
   if (document == document_) return;
   document_ = document;
@@ -74,7 +76,7 @@
 void budget_adapter::run(const send_loan_request& action) {
   peer::envelope_t message;
   message.__set_loan_request(to_wire(action.request, context_.shared.environment->generation));
-  peers_.request(action.home, std::move(message), options().loan_lifetime,
+  peers_.request(action.home, std::move(message), options_.loan_lifetime,
                  [this, action](const result<peer::envelope_t>& reply) { on_loan_answer(action, reply); });
 }
 
--- a/packages/entry/budget_adapter.h
+++ b/packages/entry/budget_adapter.h
@@ -49,6 +49,7 @@
 
   entry_context& context_;
   peer_adapter& peers_;
+  budget_options options_;
   budget_controller controller_;
   budget_document document_;
   std::map<budget_ticket, admit_callback> waiting_;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -37,14 +37,17 @@
   return std::nullopt;
 }
 
-/// Reads an optional number of seconds; `out` stays as it is if the field is missing.
+/// Reads an optional number of units of time; `out` stays as it is if the field is missing.
+/// @tparam Unit duration type whose period is the unit of the field.
 /// @return the error if the field is not a positive number.
-std::optional<error> read_seconds(const json& object, const char* name, duration& out) {
+template <class Unit>
+std::optional<error> read_duration(const json& object, const char* name, duration& out) {
   const auto it = object.find(name);
   if (it == object.end()) return std::nullopt;
   if (!it->is_number() || it->get<double>() <= 0)
     return invalid_field(name, "is not a positive number").value();
-  out = std::chrono::duration_cast<duration>(std::chrono::duration<double>{it->get<double>()});
+  using fraction = std::chrono::duration<double, typename Unit::period>;
+  out = std::chrono::duration_cast<duration>(fraction{it->get<double>()});
   return std::nullopt;
 }
 
@@ -67,8 +70,10 @@
   check(assign(address_field(document, "store"), out.store));
   check(assign(address_field(document, "promotions"), out.promotions));
   if (failure) return tl::unexpected<error>(std::move(*failure));
-  check(read_seconds(document, "drain_seconds", out.drain_time));
-  check(read_seconds(document, "rate_window_seconds", out.rate_window));
+  check(read_duration<std::chrono::seconds>(document, "drain_seconds", out.drain_time));
+  check(read_duration<std::chrono::seconds>(document, "rate_window_seconds", out.rate_window));
+  check(
+      read_duration<std::chrono::milliseconds>(document, "configuration_bound_ms", out.configuration_bound));
   if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -29,6 +29,8 @@
   /// Length of the window in which the operators measure a customer's rate and burst; zero if they
   /// use none.
   duration rate_window{};
+  /// Within this time of its confirmation a configuration must be in force on all VMs.
+  duration configuration_bound = std::chrono::seconds{3};
   log_level level = log_level::info;
   /// Maximum number of log lines per second of each event. Examples of a frequent event, such as a
   /// refusal, are enough for an investigation.
--- a/packages/limits/budget_commands_fake.h
+++ b/packages/limits/budget_commands_fake.h
@@ -24,7 +24,7 @@
 /// the first violation.
 /// @return the fleet after the last command.
 [[nodiscard]] budget_fleet run_fleet(std::uint64_t seed, const std::vector<fleet_command>& commands,
-                                     budget_test_faults faults = {});
+                                     budget_test_faults faults = {}, budget_options options = {});
 
 /// @return `count` random commands, determined by the seed.
 [[nodiscard]] std::vector<fleet_command> commands_of(std::uint64_t seed, std::size_t count);
--- a/packages/limits/budget_controller.cc
+++ b/packages/limits/budget_controller.cc
@@ -1,15 +1,26 @@
 #include "limits/budget_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/hash.h"
 #include "limits/customer_budget.h"
 #include "limits/key_ring.h"
+#include "limits/window_limiter.h"
 
 namespace bulrushlift {
 namespace {
 
-constexpr std::size_t homes_per_customer = 5;
+// A home VM with a smaller part of a window's limit would rarely have a whole token.
+constexpr auto min_limit_per_home = whole_tokens(4);
+
+/// @return the number of home VMs of a customer, at least 1.
+std::size_t home_count(const budget_share& share, const budget_options& options) {
+  if (options.window == duration::zero()) return options.homes_per_customer;
+  const auto limit = limit_in_window(share, options.window);
+  const auto useful = static_cast<std::size_t>(limit.value() / min_limit_per_home.value());
+  return std::clamp<std::size_t>(useful, 1, options.homes_per_customer);
+}
 
 // The numbers of a process start above those of earlier processes on the same VM, provided
 // that a process uses fewer than 2^20 numbers in each millisecond.
@@ -51,7 +62,8 @@
   for (const auto& [customer, whole] : document.customers) {
     auto& budget = customers_[customer];
     if (!budget) budget = std::make_unique<customer_budget>(customer, *context_);
-    budget->set_share(whole, rendezvous_choose(customer.str(), document.vms, homes_per_customer), now);
+    const auto count = home_count(whole, context_->options);
+    budget->set_share(whole, rendezvous_choose(customer.str(), document.vms, count), now);
   }
   return actions;
 }
--- a/packages/limits/budget_fleet_fake.h
+++ b/packages/limits/budget_fleet_fake.h
@@ -14,10 +14,11 @@
 #include <vector>
 
 #include "limits/budget_controller.h"
+#include "limits/window_oracle_fake.h"
 
 /// @file
 /// A fleet of budget controllers in simulated time, with fault injection and an oracle: one
-/// global token bucket for each customer.
+/// global token bucket for each customer, or one count over the window if the options name one.
 
 namespace bulrushlift {
 
@@ -135,6 +136,7 @@
   void step(loan_step what, std::size_t index);
   void spend(const customer_id& customer, millitokens cost);
   void retire_documents();
+  void note_restart();
   void check_total_tokens();
 
   budget_options options_;
@@ -152,6 +154,7 @@
   std::set<std::pair<vm_id, vm_id>> partitions_;
   message_conditions conditions_;
   std::map<customer_id, global_bucket_oracle> oracles_;
+  std::map<customer_id, global_window_oracle> window_oracles_;  ///< Used if the options name a window.
   std::uint64_t admitted_ = 0;
   std::uint64_t refused_ = 0;
   std::optional<std::string> violation_;
--- a/packages/limits/customer_budget.cc
+++ b/packages/limits/customer_budget.cc
@@ -31,10 +31,20 @@
   customer_share_ = customer_share;
   const auto count = static_cast<std::int64_t>(homes.size());
   const auto it = std::find(homes.begin(), homes.end(), context_->self);
-  const auto own_share =
-      it == homes.end() ? budget_share{} : share_of(customer_share, it - homes.begin(), count);
-  bucket_.set_share(own_share, now);
-  homes_.set_homes(homes, count == 0 ? budget_share{} : share_of(customer_share, 0, count));
+  const auto position = it == homes.end() ? home_position{} : home_position{it - homes.begin(), count};
+  bucket_.set_share(customer_share, position, now);
+  homes_.set_homes(homes, share_of(relaxed_bucket(), {0, count}));
+}
+
+budget_share customer_budget::relaxed_bucket() const {
+  const auto window = context_->options.window;
+  return window > duration::zero() ? window_limiter::relaxed_bucket(customer_share_, window)
+                                   : customer_share_;
+}
+
+millitokens customer_budget::largest_cost() const {
+  const auto window = context_->options.window;
+  return window > duration::zero() ? limit_in_window(customer_share_, window) : customer_share_.capacity;
 }
 
 millitokens customer_budget::available_tokens(time_point now) {
@@ -45,7 +55,7 @@
 void customer_budget::spend(millitokens cost, time_point now) {
   // Borrowed tokens are spent first because they expire and the own bucket's do not.
   const auto borrowed = borrowed_tokens_.take(cost, now);
-  bucket_.take(cost - borrowed);
+  bucket_.take(cost - borrowed, now);
 }
 
 error customer_budget::over_rate_error(millitokens missing) const {
@@ -58,7 +68,7 @@
 
 admission customer_budget::admit(millitokens cost, time_point now, std::uint64_t random,
                                  budget_actions& actions) {
-  if (cost > customer_share_.capacity) {
+  if (cost > largest_cost()) {
     return refused{error{error_kind::over_burst,
                          "the cost of the request exceeds the burst of customer " + customer_.str()}};
   }
@@ -71,7 +81,7 @@
   }
   const auto missing = waiting_cost_ + cost - held;
   // Loans never provide more tokens than the burst.
-  if (waiting_.size() >= context_->options.waiting_bound || waiting_cost_ + cost > customer_share_.capacity) {
+  if (waiting_.size() >= context_->options.waiting_bound || waiting_cost_ + cost > largest_cost()) {
     return refused{over_rate_error(missing)};
   }
   const budget_ticket ticket{context_->allocate_number()};
--- a/packages/limits/customer_budget.h
+++ b/packages/limits/customer_budget.h
@@ -64,6 +64,10 @@
     time_point deadline;
   };
 
+  /// @return rate and capacity with which the tokens of all home VMs together accrue.
+  [[nodiscard]] budget_share relaxed_bucket() const;
+  /// @return the most that the customer may spend at once.
+  [[nodiscard]] millitokens largest_cost() const;
   /// @return the level of the own bucket plus the borrowed tokens.
   [[nodiscard]] millitokens available_tokens(time_point now);
   void spend(millitokens cost, time_point now);
--- a/packages/limits/home_bucket.cc
+++ b/packages/limits/home_bucket.cc
@@ -16,14 +16,16 @@
       faults_(faults),
       history_(
           faults.raises_at_once ? duration::zero() : options.raise_delay(),
-          faults.raises_at_once ? duration::zero() : options.start_delay.value_or(options.raise_delay())) {}
+          faults.raises_at_once ? duration::zero() : options.start_delay.value_or(options.raise_delay())) {
+  if (options.window > duration::zero()) limiter_.emplace(options.window);
+}
 
-void home_bucket::set_share(const budget_share& share, time_point now) {
+void home_bucket::set_share(const budget_share& total, home_position position, time_point now) {
   if (is_new_) refilled_until_ = now;
   advance_to(now);
-  history_.push(share, now);
+  history_.push(total, position, now);
   apply_share(now);
-  if (is_new_ && faults_.starts_full) level_ = share.capacity;
+  if (is_new_ && faults_.starts_full) level_ = share_of(total, position).capacity;
   is_new_ = false;
 }
 
@@ -43,7 +45,8 @@
 }
 
 void home_bucket::refill_until(time_point when) {
-  if (when <= refilled_until_) return;
+  if (limiter_) limiter_->advance_to(when);
+  if (limiter_ || when <= refilled_until_) return;
   const auto elapsed = when - refilled_until_;
   refilled_until_ = when;
   const auto free_capacity = share_.capacity - level_ - outstanding_;
@@ -70,21 +73,32 @@
   const auto share = history_.effective(now);
   if (share == share_) return;
   share_ = share;
+  if (limiter_) {
+    limiter_->set_share(share, now);
+    return;
+  }
   const auto free_capacity = std::max(millitokens{}, share_.capacity - outstanding_);
   level_ = std::min(level_, free_capacity);
 }
 
-millitokens home_bucket::take(millitokens amount) {
-  const auto taken = std::min(amount, level_);
-  level_ -= taken;
+millitokens home_bucket::take_until(millitokens amount, time_point spent_by) {
+  const auto taken = std::min(amount, level());
+  if (limiter_) {
+    limiter_->take(taken, spent_by);
+  } else {
+    level_ -= taken;
+  }
   return taken;
 }
 
 millitokens home_bucket::lend(loan_id id, const vm_id& borrower, incarnation_id incarnation,
                               millitokens amount, time_point now) {
-  const auto lent = take(std::max(amount, millitokens{}));
+  const auto expires = now + outstanding_time_;
+  // Admissions that are older than any window are not counted.
+  const auto spent_by = faults_.forgets_outstanding ? time_point{} : expires;
+  const auto lent = take_until(std::max(amount, millitokens{}), spent_by);
   if (lent == millitokens{} || faults_.forgets_outstanding) return lent;
-  loans_.push_back({id, borrower, incarnation, lent, millitokens{}, now + outstanding_time_});
+  loans_.push_back({id, borrower, incarnation, lent, millitokens{}, expires});
   outstanding_ += lent;
   return lent;
 }
@@ -101,6 +115,7 @@
 }
 
 std::optional<duration> home_bucket::time_to_reach(millitokens amount) const {
+  if (limiter_) return limiter_->time_to_reach(amount);
   if (amount <= level_) return duration::zero();
   const auto rate = share_.rate_per_second.value();
   if (rate <= 0 || amount + outstanding_ > share_.capacity) return std::nullopt;
--- a/packages/limits/home_bucket.h
+++ b/packages/limits/home_bucket.h
@@ -8,9 +8,10 @@
 #include "limits/loan.h"
 #include "limits/share_history.h"
 #include "limits/tokens.h"
+#include "limits/window_limiter.h"
 
 /// @file
-/// The token bucket of one customer at one home VM, with its outstanding loans.
+/// The tokens of one customer at one home VM, with its outstanding loans.
 
 namespace bulrushlift {
 
@@ -18,19 +19,23 @@
 /// exceed the capacity of the effective share, with one exception: when a lower share
 /// takes effect, the outstanding loans may exceed its capacity until they expire. The level
 /// is 0 in that time.
+///
+/// If the options name a window, a `window_limiter` takes the place of the bucket. Lent tokens
+/// are then counted as spent at the time at which the loan expires.
 class home_bucket {
  public:
   home_bucket(const budget_options& options, const budget_test_faults& faults);
 
-  /// Records the share of a newer document. `share_history` decides when it takes effect.
-  void set_share(const budget_share& share, time_point now);
+  /// Records the customer's rate and burst and this VM's position from a newer document.
+  /// `share_history` decides when they take effect.
+  void set_share(const budget_share& total, home_position position, time_point now);
 
   /// Refills the bucket, removes expired loans and applies pending shares up to `now`.
   void advance_to(time_point now);
 
   /// Takes up to `amount` from the level. Call `advance_to` first.
   /// @return the amount taken.
-  millitokens take(millitokens amount);
+  millitokens take(millitokens amount, time_point now) { return take_until(amount, now); }
 
   /// Lends up to `amount` to a borrower. Call `advance_to` first.
   /// @return the amount lent; if it is 0, no loan is recorded.
@@ -41,7 +46,7 @@
   /// Ignores a report on a loan that is unknown, expired or another borrower's.
   void report_use(const loan_use& use, const vm_id& borrower, incarnation_id incarnation);
 
-  [[nodiscard]] millitokens level() const noexcept { return level_; }
+  [[nodiscard]] millitokens level() const { return limiter_ ? limiter_->available() : level_; }
   [[nodiscard]] millitokens outstanding() const noexcept { return outstanding_; }
   [[nodiscard]] const budget_share& share() const noexcept { return share_; }
 
@@ -59,6 +64,8 @@
     time_point expires;
   };
 
+  /// @param spent_by latest time at which the tokens are spent.
+  millitokens take_until(millitokens amount, time_point spent_by);
   void refill_until(time_point when);
   void drop_expired(time_point now);
   void apply_share(time_point now);
@@ -66,6 +73,7 @@
   duration outstanding_time_;
   budget_test_faults faults_;
   share_history history_;
+  std::optional<window_limiter> limiter_;  ///< Set if the options name a window.
   budget_share share_;
   millitokens level_;
   millitokens outstanding_;
--- a/packages/limits/loan.h
+++ b/packages/limits/loan.h
@@ -44,17 +44,21 @@
   /// it doubles with each such result, up to `retry_pause_max`.
   duration retry_pause = std::chrono::milliseconds{20};
   duration retry_pause_max = std::chrono::milliseconds{320};
-  std::size_t waiting_bound = 64;  ///< Most requests of one customer that wait at one VM.
+  /// Span in which the operators count a customer's requests: at most rate x window + burst. Zero
+  /// limits by token buckets of rate and burst instead.
+  duration window{};
+  std::size_t homes_per_customer = 5;  ///< Most home VMs of a customer.
+  std::size_t waiting_bound = 64;      ///< Most requests of one customer that wait at one VM.
 
   /// @return how long the lender counts a loan as outstanding: 5 % longer than the
   ///   borrower may use it, because the clocks of both VMs may be off by up to 1 %.
   [[nodiscard]] duration outstanding_time() const noexcept { return loan_lifetime + loan_lifetime / 20; }
 
-  /// @return how long a higher share is delayed: until every VM has the document and
-  ///   the loans made under the old shares have expired. The added 2 % allow for a local
-  ///   clock that is up to 1 % fast.
+  /// @return how long a larger part of a customer's rate is delayed: until every VM has the document,
+  ///   the loans made under the old shares have expired, and what was spent from these has left the
+  ///   window. The added 2 % allow for a local clock that is up to 1 % fast.
   [[nodiscard]] duration raise_delay() const noexcept {
-    const auto longest = dissemination_bound + outstanding_time();
+    const auto longest = dissemination_bound + outstanding_time() + window;
     return longest + longest / 50;
   }
 };
--- a/packages/limits/tokens.h
+++ b/packages/limits/tokens.h
@@ -59,15 +59,23 @@
   return {std::min(a.rate_per_second, b.rate_per_second), std::min(a.capacity, b.capacity)};
 }
 
+/// A VM's position among the home VMs of a customer.
+struct home_position {
+  std::int64_t index = 0;  ///< From 0.
+  std::int64_t homes = 0;  ///< Number of home VMs; 0 if the VM is none of them.
+
+  friend constexpr bool operator==(const home_position&, const home_position&) = default;
+};
+
 /// Divides a customer's rate and capacity among its home VMs.
 /// @param total rate and capacity of the customer.
-/// @param index of the home VM, from 0.
-/// @param homes number of home VMs, at least 1.
-/// @return the share of that home VM; the shares of all home VMs add up to `total` exactly.
-[[nodiscard]] constexpr budget_share share_of(const budget_share& total, std::int64_t index,
-                                              std::int64_t homes) noexcept {
-  const auto split = [&](millitokens amount) {
-    return millitokens{amount.value() / homes + (index < amount.value() % homes ? 1 : 0)};
+/// @return the share of the home VM at that position, zero for a VM that is no home VM; the shares of
+///   all home VMs add up to `total` exactly.
+[[nodiscard]] constexpr budget_share share_of(const budget_share& total, home_position position) noexcept {
+  if (position.homes == 0) return {};
+  const auto split = [position](millitokens amount) {
+    const auto rest = amount.value() % position.homes;
+    return millitokens{amount.value() / position.homes + (position.index < rest ? 1 : 0)};
   };
   return {split(total.rate_per_second), split(total.capacity)};
 }
--- a/packages/tools/rate_policies.cc
+++ b/packages/tools/rate_policies.cc
@@ -42,7 +42,7 @@
     auto& buckets = buckets_.emplace_back();
     for (const auto& customer : simulation.customers()) {
       buckets.emplace_back(options_without_dissemination_wait(), budget_test_faults{});
-      buckets.back().set_share(share_of(customer.share, vm, count), simulation.now());
+      buckets.back().set_share(customer.share, {vm, count}, simulation.now());
     }
   }
 }
@@ -51,14 +51,14 @@
   auto& bucket = buckets_[request.vm][request.customer];
   bucket.advance_to(simulation_.now());
   const bool is_admitted = bucket.level() >= request_cost;
-  if (is_admitted) bucket.take(request_cost);
+  if (is_admitted) bucket.take(request_cost, simulation_.now());
   simulation_.record_decision(index, is_admitted);
 }
 
 void fixed_split::on_restart(std::size_t vm) {
   for (auto& bucket : buckets_[vm]) {
     bucket.advance_to(simulation_.now());
-    bucket.take(bucket.level());
+    bucket.take(bucket.level(), simulation_.now());
   }
 }
 
@@ -133,7 +133,7 @@
     : simulation_(simulation), options_(options_without_dissemination_wait()), states_(simulation.vms()) {
   for (const auto& customer : simulation.customers()) {
     holders_.push_back({rendezvous_vm(customer.name, simulation.vms()), home_bucket{options_, {}}, 0, false});
-    holders_.back().bucket.set_share(customer.share, simulation.now());
+    holders_.back().bucket.set_share(customer.share, {0, 1}, simulation.now());
   }
   for (auto& each : states_) each.resize(simulation.customers().size());
   simulation.set_holder(holders_.front().vm);
@@ -163,7 +163,7 @@
   while (!state.waiting.empty()) {
     const auto front = state.waiting.front();
     if (is_holder && bucket.level() >= request_cost) {
-      bucket.take(request_cost);
+      bucket.take(request_cost, simulation_.now());
       simulation_.record_decision(front.index, true);
     } else if (state.tokens.available(simulation_.now()) >= request_cost) {
       state.tokens.take(request_cost, simulation_.now());
@@ -220,7 +220,7 @@
   simulation_.at(simulation_.now() + holder_lease, next, [this, customer, next] {
     const auto loans = holders_[customer].loans;
     holders_[customer] = {next, home_bucket{options_, {}}, loans, false};
-    holders_[customer].bucket.set_share(simulation_.customers()[customer].share, simulation_.now());
+    holders_[customer].bucket.set_share(simulation_.customers()[customer].share, {0, 1}, simulation_.now());
   });
 }
 
