Have one owner for a service also right after a restart of all VMs

A restarted VM first knows only itself, takes itself for the owner of all services and connects to all targets. Later each of 38 VMs kept the two idle connections that any VM may hold for 40 s: 76 of 44.

Change: the VMs in the store's list count as members for two seconds after this VM learned of them, also if no message has told of them yet (membership_controller::possible_members), so all VMs compute the same owners from the start. A VM that neither owns nor monitors a service keeps no idle connection to its targets (sql::idle_connection_share).

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "base/log.h"
-#include "sql/connection_share.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -34,13 +33,17 @@
 connection_pool::connection_pool(entry_context& context, change_callback on_change)
     : context_(context), on_change_(std::move(on_change)) {}
 
-std::size_t connection_pool::limit_of(const service_id& service) const {
+std::size_t connection_pool::target_limit(const service_id& service) const {
   const auto& environment = context_.shared.environment;
   if (!environment) return 0;
   const auto it = environment->services.find(service);
-  if (it == environment->services.end()) return 0;
-  const bool is_owner = owner_of(service, context_.shared) == context_.settings.vm;
-  return sql::connection_share(it->second.connection_limit, is_owner);
+  return it == environment->services.end() ? 0 : it->second.connection_limit;
+}
+
+sql::service_role connection_pool::role_in(const service_id& service) const {
+  const auto rank = monitor_rank(service, context_.shared, context_.settings.vm);
+  if (!rank) return sql::service_role::other;
+  return *rank == 0 ? sql::service_role::owner : sql::service_role::monitor;
 }
 
 const connection_pool::target_pool* connection_pool::find(const target_id& target) const {
@@ -146,7 +149,9 @@
         return each->customer == customer && each->use != connection_use::pinned;
       }));
   if (held >= max_useful) return false;
-  if (pool.all.size() >= limit_of(service) && !evict_idle(pool, held)) return false;
+  if (pool.all.size() >= sql::connection_share(target_limit(service), role_in(service)) &&
+      !evict_idle(pool, held))
+    return false;
   auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
   connection->use_start = now;
   connection->batch_deadline = now + open_timeout;
@@ -222,11 +227,13 @@
   std::vector<connection_ptr> timed_out;
   std::vector<connection_ptr> expired;
   for (const auto& [target, pool] : pools_) {
+    if (pool.all.empty()) continue;
+    const auto& service = pool.all.front()->service;
+    const auto idle_share = sql::idle_connection_share(target_limit(service), role_in(service));
     for (const auto& each : pool.all) {
       if (each->batch_deadline && *each->batch_deadline <= now) timed_out.push_back(each);
       if (each->use != connection_use::idle) continue;
-      const bool is_surplus =
-          pool.all.size() > limit_of(each->service) && now - each->use_start >= surplus_idle_time;
+      const bool is_surplus = pool.all.size() > idle_share && now - each->use_start >= surplus_idle_time;
       if (is_surplus || now - each->use_start >= idle_lifetime) expired.push_back(each);
     }
   }
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -11,6 +11,7 @@
 
 #include "entry/entry_context.h"
 #include "platform/target_connection.h"
+#include "sql/connection_share.h"
 #include "sql/session_state.h"
 
 /// @file
@@ -97,7 +98,9 @@
     time_point open_blocked_until{};  ///< Set while the target refuses connections.
   };
 
-  [[nodiscard]] std::size_t limit_of(const service_id& service) const;
+  /// @return connections that each target of the service accepts from all VMs together.
+  [[nodiscard]] std::size_t target_limit(const service_id& service) const;
+  [[nodiscard]] sql::service_role role_in(const service_id& service) const;
   [[nodiscard]] const target_pool* find(const target_id& target) const;
   /// Changes the use of a connection and updates the counts and the index of idle connections.
   void set_use(const connection_ptr& connection, connection_use use);
--- a/packages/entry/membership_adapter.cc
+++ b/packages/entry/membership_adapter.cc
@@ -8,6 +8,19 @@
 #include "peers/membership_wire.h"
 
 namespace bulrushlift::entry {
+namespace {
+
+// A restarted VM hears of all members within this time: it pings four of them in each 200 ms, and
+// each answer tells of others.
+constexpr duration presumption_time = std::chrono::seconds{2};
+
+membership_options options() {
+  membership_options value;
+  value.presumption_time = presumption_time;
+  return value;
+}
+
+}  // namespace
 
 membership_adapter::membership_adapter(entry_context& context, std::function<void()> on_change,
                                        std::function<void()> on_superseded,
@@ -18,7 +31,7 @@
       on_generation_(std::move(on_generation)),
       controller_({context.settings.vm, context.settings.peer_listen.str(), context.settings.data_centre,
                    context.incarnation, member_state::alive},
-                  {}),
+                  options()),
       socket_(context.loop,
               [this](const net_address& from, std::string_view bytes) { on_datagram(from, bytes); }),
       timer_(context.loop) {
@@ -31,11 +44,23 @@
   return bound;
 }
 
+void membership_adapter::update_members() {
+  const auto now = context_.loop.now();
+  // The end of a presumption is no event of the controller.
+  if (!std::exchange(is_changed_, false) && !has_presumed_) return;
+  has_presumed_ = controller_.has_presumed_members(now);
+  auto members = controller_.possible_members(now);
+  if (members == context_.shared.members) return;
+  context_.shared.members = std::move(members);
+  on_change_();
+}
+
 void membership_adapter::update_seeds() {
   std::vector<member_seed> seeds;
   for (const auto& [vm, record] : context_.shared.vms) {
     seeds.push_back({vm, record.peer_address, record.data_centre});
   }
+  is_changed_ = true;
   perform(controller_.set_seeds(seeds, context_.loop.now()));
 }
 
@@ -64,10 +89,7 @@
   for (const auto& action : actions) {
     std::visit([this](const auto& each) { run(each); }, action);
   }
-  if (std::exchange(is_changed_, false)) {
-    context_.shared.members = controller_.members();
-    on_change_();
-  }
+  update_members();
   reset_timer();
 }
 
--- a/packages/entry/membership_adapter.h
+++ b/packages/entry/membership_adapter.h
@@ -34,6 +34,7 @@
 
  private:
   void perform(const membership_actions& actions);
+  void update_members();
   void run(const send_membership& action);
   void run(const member_changed& action);
   void run(const send_leave& action);
@@ -49,6 +50,7 @@
   membership_controller controller_;
   datagram_socket socket_;
   bool is_changed_ = false;
+  bool has_presumed_ = false;  ///< Some members in the shared state have not been heard of yet.
   scoped_timer timer_;
 };
 
--- a/packages/fleet/membership_controller.cc
+++ b/packages/fleet/membership_controller.cc
@@ -44,8 +44,10 @@
       if (seed.address != self_.address) duplicate_address_ = seed.address;
       continue;
     }
-    auto& it = peers_[seed.vm];
+    const auto [entry, is_new] = peers_.try_emplace(seed.vm);
+    auto& it = entry->second;
     it.is_seed = true;
+    if (is_new) it.seed_since = now;
     if (it.is_known) continue;
     it.info = {seed.vm, seed.address, seed.data_centre, incarnation_id{}, member_state::alive};
     it.state_since = now;
@@ -223,6 +225,23 @@
   return known;
 }
 
+bool membership_controller::is_presumed(const peer& it, time_point now) const noexcept {
+  return it.is_seed && !it.is_known && now - it.seed_since < options_.presumption_time;
+}
+
+std::vector<member> membership_controller::possible_members(time_point now) const {
+  auto possible = members();
+  for (const auto& [vm, it] : peers_) {
+    if (is_presumed(it, now)) possible.push_back(it.info);
+  }
+  std::ranges::sort(possible, {}, &member::vm);
+  return possible;
+}
+
+bool membership_controller::has_presumed_members(time_point now) const {
+  return std::ranges::any_of(peers_, [&](const auto& entry) { return is_presumed(entry.second, now); });
+}
+
 std::vector<member> membership_controller::serving_members() const {
   auto known = members();
   std::erase_if(known, [](const member& it) { return !is_serving(it.state); });
--- a/packages/fleet/membership_controller.h
+++ b/packages/fleet/membership_controller.h
@@ -98,6 +98,9 @@
   std::uint32_t dead_ping_periods = 5;
   /// Dead members are forgotten after this time unless they are seeds.
   duration dead_retention = std::chrono::minutes{10};
+  /// How long a seed that no message has told of counts as a possible member, see
+  /// `possible_members`.
+  duration presumption_time{};
   /// Test only: accept updates without a check of their incarnation.
   bool skips_incarnation_check = false;
   /// Test only: keep serving after hearing of a later process with this VM's name.
@@ -154,6 +157,13 @@
   [[nodiscard]] time_point next_timer() const noexcept { return next_timer_; }
   /// @return all known members, including this VM, sorted by name.
   [[nodiscard]] std::vector<member> members() const;
+  /// Load pattern: all VMs restart at once. Each first knows only itself, and if it took itself for the
+  /// owner of all services, the connections of all VMs would exceed the limit of every target.
+  /// @return all known members, and the seeds of which no message has told for less than the
+  ///   presumption time, as alive; sorted by name.
+  [[nodiscard]] std::vector<member> possible_members(time_point now) const;
+  /// @return whether `possible_members` has members that no message has told of.
+  [[nodiscard]] bool has_presumed_members(time_point now) const;
   /// @return the members that are alive or suspect, including this VM unless it leaves.
   [[nodiscard]] std::vector<member> serving_members() const;
   /// @return the approximate memory use of this controller, in bytes.
@@ -167,6 +177,7 @@
     member info;
     bool is_seed = false;
     bool is_known = false;            ///< False for a seed of which no message or update has told yet.
+    time_point seed_since{};          ///< When it became a seed.
     std::uint32_t transmissions = 0;  ///< How often the newest update was sent.
     time_point state_since{};
     time_point suspicion_end{};
@@ -213,6 +224,7 @@
   /// @return up to `count` random members for which `predicate` is true.
   [[nodiscard]] std::vector<peer*> sample(std::size_t count, random_engine& random,
                                           bool (*predicate)(const peer&));
+  [[nodiscard]] bool is_presumed(const peer& it, time_point now) const noexcept;
   [[nodiscard]] static bool is_pinged(const peer& it) noexcept;
   [[nodiscard]] std::size_t live_count() const noexcept;
   [[nodiscard]] duration suspicion_time() const noexcept;
--- a/packages/fleet/membership_test.cc
+++ b/packages/fleet/membership_test.cc
@@ -34,6 +34,35 @@
   for (const auto& it : fleet.instances()) CHECK(it.controller->serving_members().size() == 5);
 }
 
+// Guards against VMs that take themselves for owners of all services after a restart of the whole fleet.
+TEST_CASE("after a restart of all VMs each has the same possible members from the start") {
+  constexpr std::size_t size = 38;
+  membership_options options;
+  options.presumption_time = seconds{2};
+  membership_simulator fleet{options, 1};
+  start_fleet(fleet, size);
+  for (milliseconds elapsed{0}; elapsed < seconds{4}; elapsed += milliseconds{100}) {
+    for (const auto& it : fleet.instances()) {
+      REQUIRE(it.controller->possible_members(fleet.now()).size() == size);
+    }
+    fleet.run_for(milliseconds{100});
+  }
+}
+
+// Guards against a removed VM that stays a possible owner because its record was never deleted.
+TEST_CASE("a seed that never answers is no possible member after the presumption time") {
+  membership_options options;
+  options.presumption_time = seconds{2};
+  membership_simulator fleet{options, 1};
+  start_fleet(fleet, 10);
+  fleet.crash(9);
+  fleet.run_for(milliseconds{1'900});
+  CHECK(fleet.instances()[0].controller->possible_members(fleet.now()).size() == 10);
+  fleet.run_for(milliseconds{200});
+  CHECK(fleet.instances()[0].controller->possible_members(fleet.now()).size() == 9);
+  CHECK_FALSE(fleet.instances()[0].controller->has_presumed_members(fleet.now()));
+}
+
 // Guards against crash detection that takes longer than about a second, which delays the failover of
 // services.
 TEST_CASE("a crash is known everywhere within 1.1 seconds in a small fleet") {
