Let restarted home VMs admit a part of the tolerated excess at once

A restarted home VM knows nothing of what its predecessor admitted, so it started with an empty bucket, and only after 0.26 s, the lifetime of its predecessor's loans.

Loans live for 120 ms in place of 250, and the delay counts from the start of the process. An operation waits 60 ms for a loan in place of 25.

--- a/packages/entry/budget_adapter.cc
+++ b/packages/entry/budget_adapter.cc
@@ -1,5 +1,6 @@
 #include "entry/budget_adapter.h"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -16,13 +17,28 @@
 // With three home VMs, two hold enough of a customer's limit for its usual demand.
 constexpr std::size_t homes_per_customer = 3;
 
+// Loans are spent as soon as they arrive, so that a short lifetime wastes few, and a restarted home VM
+// waits only for the loans of its previous process.
+constexpr duration loan_lifetime = std::chrono::milliseconds{120};
+
+// An operation waits this long for a loan: two answers of home VMs that are busy.
+constexpr duration loan_wait = std::chrono::milliseconds{60};
+
+// Part of the tolerated excess that restarted home VMs admit; the rest covers the loans of their previous
+// processes.
+constexpr double restart_part = 0.5;
+
 budget_options options_of(const entry_settings& settings) {
   budget_options value;
   value.window = settings.rate_window;
   value.homes_per_customer = homes_per_customer;
+  value.restart_limit_fraction = settings.rate_overage * restart_part;
+  value.restart_tokens = to_millitokens(settings.rate_slack * restart_part);
   value.dissemination_bound = settings.configuration_bound;
+  value.loan_lifetime = loan_lifetime;
+  value.loan_wait = loan_wait;
   // The loans of the previous process of this VM must have expired. Until the other VMs know a new
-  // VM, the shares may add up to more than the budget; the operators tolerate that.
+  // VM, the shares may add up to more than the limit; the operators tolerate that.
   value.start_delay = value.outstanding_time();
   return value;
 }
@@ -33,6 +49,7 @@
     : context_(context),
       peers_(peers),
       options_(options_of(context.settings)),
+      process_start_(context.loop.now()),
       controller_(context.settings.vm, context.incarnation, options_),
       timer_(context.loop) {
   peers_.on_loan_request([this](const peer::envelope_t& message, const peer_responder& respond) {
@@ -49,8 +66,22 @@
         customer, budget_share{to_millitokens(options.rate_per_second), to_millitokens(options.burst)});
   }
   if (document == document_) return;
+  const auto now = context_.loop.now();
+  if (document_ == budget_document{}) {
+    const auto remaining = options_.outstanding_time() - (now - process_start_);
+    controller_.set_start(std::max(remaining, duration::zero()), !has_restarted_lately());
+  }
   document_ = document;
-  perform(controller_.apply_document(document, context_.loop.now()));
+  perform(controller_.apply_document(document, now));
+}
+
+bool budget_adapter::has_restarted_lately() const {
+  // The record in the store is that of the previous process until this one has announced itself.
+  const auto it = context_.shared.vms.find(context_.settings.vm);
+  if (it == context_.shared.vms.end() || it->second.incarnation == context_.incarnation) return false;
+  const auto since_start = std::chrono::milliseconds{context_.incarnation.value()} -
+                           std::chrono::milliseconds{it->second.incarnation.value()};
+  return since_start < 2 * context_.settings.rate_window;
 }
 
 void budget_adapter::admit(const customer_id& customer, admit_callback done) {
--- a/packages/entry/budget_adapter.h
+++ b/packages/entry/budget_adapter.h
@@ -37,6 +37,8 @@
   void admit(const customer_id& customer, admit_callback done);
 
  private:
+  /// @return whether the previous process of this VM started less than two windows before this one.
+  [[nodiscard]] bool has_restarted_lately() const;
   void perform(const budget_actions& actions);
   void run(const send_loan_request& action);
   void run(const send_loan_reply& action);
@@ -50,6 +52,7 @@
   entry_context& context_;
   peer_adapter& peers_;
   budget_options options_;
+  time_point process_start_;
   budget_controller controller_;
   budget_document document_;
   std::map<budget_ticket, admit_callback> waiting_;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -51,6 +51,17 @@
   return std::nullopt;
 }
 
+/// Reads an optional number; `out` stays as it is if the field is missing.
+/// @return the error if the field is not a number of at least zero.
+std::optional<error> read_number(const json& object, const char* name, double& out) {
+  const auto it = object.find(name);
+  if (it == object.end()) return std::nullopt;
+  if (!it->is_number() || it->get<double>() < 0)
+    return invalid_field(name, "is not a number of at least 0").value();
+  out = it->get<double>();
+  return std::nullopt;
+}
+
 }  // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text) {
@@ -72,6 +83,8 @@
   if (failure) return tl::unexpected<error>(std::move(*failure));
   check(read_duration<std::chrono::seconds>(document, "drain_seconds", out.drain_time));
   check(read_duration<std::chrono::seconds>(document, "rate_window_seconds", out.rate_window));
+  check(read_number(document, "rate_overage", out.rate_overage));
+  check(read_number(document, "rate_slack", out.rate_slack));
   check(
       read_duration<std::chrono::milliseconds>(document, "configuration_bound_ms", out.configuration_bound));
   if (failure) return tl::unexpected<error>(std::move(*failure));
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -29,6 +29,9 @@
   /// Length of the window in which the operators measure a customer's rate and burst; zero if they
   /// use none.
   duration rate_window{};
+  /// Excess over that limit that the operators tolerate: a part of the limit, and operations.
+  double rate_overage = 0;
+  double rate_slack = 0;
   /// Within this time of its confirmation a configuration must be in force on all VMs.
   duration configuration_bound = std::chrono::seconds{3};
   log_level level = log_level::info;
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -10,7 +10,8 @@
   return "{\n  // one proxy\n  " + vm + R"(, "data_centre": "thies", "caller_listen": "10.0.0.1:1",
     "readiness_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3", "metrics_listen": "10.0.0.1:4",
     "store": "10.0.0.9:5", "promotions": "10.0.0.9:6", "drain_seconds": 6, "log_level": "warning",
-    "rate_window_seconds": 5, "configuration_bound_ms": 6000, "log_lines_per_second": 20})";
+    "rate_window_seconds": 5, "rate_overage": 0.1, "rate_slack": 20,
+    "configuration_bound_ms": 6000, "log_lines_per_second": 20})";
 }
 
 TEST_CASE("Settings with comments are read") {
@@ -22,6 +23,8 @@
   CHECK(parsed->level == log_level::warning);
   CHECK(parsed->log_lines_per_second == 20);
   CHECK(parsed->rate_window == std::chrono::seconds{5});
+  CHECK(parsed->rate_overage == 0.1);
+  CHECK(parsed->rate_slack == 20);
   CHECK(parsed->configuration_bound == std::chrono::seconds{6});
 }
 
@@ -38,6 +41,11 @@
   const auto negative = parse_entry_settings(text);
   REQUIRE_FALSE(negative);
   CHECK(negative.error().message == "drain_seconds: is not a positive number");
+  text = settings_text();
+  text.replace(text.find(": 0.1"), 5, ": -1 ");
+  const auto overage = parse_entry_settings(text);
+  REQUIRE_FALSE(overage);
+  CHECK(overage.error().message == "rate_overage: is not a number of at least 0");
 }
 
 }  // namespace
--- a/packages/limits/budget_controller.cc
+++ b/packages/limits/budget_controller.cc
@@ -50,6 +50,13 @@
   }
 }
 
+void budget_controller::set_start(duration delay, bool has_allowance) {
+  context_->options.start_delay = delay;
+  if (has_allowance) return;
+  context_->options.restart_limit_fraction = 0;
+  context_->options.restart_tokens = {};
+}
+
 budget_actions budget_controller::apply_document(const budget_document& document, time_point now) {
   budget_actions actions;
   has_document_ = true;
--- a/packages/limits/budget_controller.h
+++ b/packages/limits/budget_controller.h
@@ -120,6 +120,12 @@
   budget_controller& operator=(const budget_controller&) = delete;
   ~budget_controller();
 
+  /// Sets how this process starts, when more is known than the options say. Call before the first document.
+  /// @param delay replaces `budget_options::start_delay`; shorter if the process has run for a while.
+  /// @param has_allowance whether it may spend the restart allowance. A process must not if the one before
+  ///   it started less than two windows ago, and so may have spent it.
+  void set_start(duration delay, bool has_allowance);
+
   /// Applies a newer document. Refuses the waiting requests of customers that it no longer
   /// names. The shares of the first document of a process are delayed like rises from zero.
   /// @return the refusals.
--- a/packages/limits/budget_fleet_fake.cc
+++ b/packages/limits/budget_fleet_fake.cc
@@ -74,6 +74,10 @@
   each->clock_speed = clock_speed;
   each->budgets =
       std::make_unique<budget_controller>(each->vm, incarnation_id{each->incarnation}, options_, faults_);
+  const auto previous = last_starts_.find(each->vm);
+  const bool has_allowance = previous == last_starts_.end() || now_ - previous->second >= 2 * options_.window;
+  last_starts_[each->vm] = now_;
+  if (options_.start_delay) each->budgets->set_start(*options_.start_delay, has_allowance);
   if (generation_ > 0) each->documents[generation_] = now_;
   instances_.push_back(std::move(each));
 }
@@ -127,7 +131,9 @@
   auto& old = *instances_[index];
   if (old.stops_at) return;
   // A paused process stops too: when it resumes, its configuration is too old to serve.
-  old.stops_at = now_ + milliseconds{random_() % 6'900};
+  const auto longest = options_.start_delay.value_or(milliseconds{6'900});
+  old.stops_at =
+      now_ + duration{static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(longest.count()))};
   note_restart();
   start(old.vm, old.clock_speed);
 }
--- a/packages/limits/budget_fleet_fake.h
+++ b/packages/limits/budget_fleet_fake.h
@@ -77,7 +77,7 @@
   void pause(std::size_t instance, duration span);
   /// Ends a process and starts its successor at once, unless one runs already.
   void crash(std::size_t instance);
-  /// Starts a successor while the old process runs on for up to 6.9 s.
+  /// Starts a successor while the old process runs on, for up to 6.9 s or the start delay if there is one.
   void replace(std::size_t instance);
   /// Publishes a document; each process gets it at a random time within the dissemination bound.
   void publish(budget_document document);
@@ -148,6 +148,7 @@
   budget_document document_;
   std::map<std::uint64_t, budget_document> documents_;
   std::map<std::uint64_t, duration> end_times_;  ///< When a superseded document is no longer in force.
+  std::map<vm_id, duration> last_starts_;
   duration vms_changed_{};
   std::vector<std::unique_ptr<instance>> instances_;
   std::vector<message> messages_;
--- a/packages/limits/budget_mutation_test.cc
+++ b/packages/limits/budget_mutation_test.cc
@@ -42,7 +42,11 @@
   options.window = std::chrono::seconds{5};
   options.homes_per_customer = 3;
   options.dissemination_bound = std::chrono::seconds{3};
+  options.loan_lifetime = std::chrono::milliseconds{120};
+  options.loan_wait = std::chrono::milliseconds{60};
   options.start_delay = options.outstanding_time();
+  options.restart_limit_fraction = 0.05;
+  options.restart_tokens = whole_tokens(10);
   return options;
 }
 
--- a/packages/limits/home_bucket.cc
+++ b/packages/limits/home_bucket.cc
@@ -1,6 +1,7 @@
 #include "limits/home_bucket.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrushlift {
 namespace {
@@ -13,10 +14,13 @@
 
 home_bucket::home_bucket(const budget_options& options, const budget_test_faults& faults)
     : outstanding_time_(options.outstanding_time()),
+      window_(options.window),
       faults_(faults),
       history_(
           faults.raises_at_once ? duration::zero() : options.raise_delay(),
-          faults.raises_at_once ? duration::zero() : options.start_delay.value_or(options.raise_delay())) {
+          faults.raises_at_once ? duration::zero() : options.start_delay.value_or(options.raise_delay())),
+      restart_limit_fraction_(options.restart_limit_fraction),
+      restart_tokens_(options.restart_tokens) {
   if (options.window > duration::zero()) limiter_.emplace(options.window);
 }
 
@@ -24,6 +28,7 @@
   if (is_new_) refilled_until_ = now;
   advance_to(now);
   history_.push(total, position, now);
+  homes_ = position.homes;
   apply_share(now);
   if (is_new_ && faults_.starts_full) level_ = share_of(total, position).capacity;
   is_new_ = false;
@@ -75,12 +80,19 @@
   share_ = share;
   if (limiter_) {
     limiter_->set_share(share, now);
+    if (!std::exchange(has_started_, true)) limiter_->set_start_level(restart_allowance());
     return;
   }
   const auto free_capacity = std::max(millitokens{}, share_.capacity - outstanding_);
   level_ = std::min(level_, free_capacity);
 }
 
+millitokens home_bucket::restart_allowance() const {
+  const auto limit = static_cast<double>(limit_in_window(share_, window_).value());
+  const auto part = millitokens{static_cast<std::int64_t>(restart_limit_fraction_ * limit)};
+  return part + millitokens{restart_tokens_.value() / std::max<std::int64_t>(homes_, 1)};
+}
+
 millitokens home_bucket::take_until(millitokens amount, time_point spent_by) {
   const auto taken = std::min(amount, level());
   if (limiter_) {
--- a/packages/limits/home_bucket.h
+++ b/packages/limits/home_bucket.h
@@ -69,10 +69,15 @@
   void refill_until(time_point when);
   void drop_expired(time_point now);
   void apply_share(time_point now);
+  /// @return what may be spent at once when the first share of this process takes effect.
+  [[nodiscard]] millitokens restart_allowance() const;
 
   duration outstanding_time_;
+  duration window_;
   budget_test_faults faults_;
   share_history history_;
+  double restart_limit_fraction_;
+  millitokens restart_tokens_;
   std::optional<window_limiter> limiter_;  ///< Set if the options name a window.
   budget_share share_;
   millitokens level_;
@@ -80,6 +85,8 @@
   std::deque<loan> loans_;  ///< In ascending order of ids, which is also the order of expiry.
   time_point refilled_until_;
   std::int64_t remainder_ = 0;  ///< Fraction of a millitoken, in units of 1 / `refill_period`.
+  std::int64_t homes_ = 0;      ///< Home VMs of the customer in the newest document.
+  bool has_started_ = false;    ///< A share has taken effect.
   bool is_new_ = true;
 };
 
--- a/packages/limits/home_bucket_test.cc
+++ b/packages/limits/home_bucket_test.cc
@@ -36,6 +36,22 @@
   CHECK(level_after(options, seconds{1}) > whole_tokens(6));
 }
 
+// Guards against refusing every customer for about a second after all VMs were restarted.
+TEST_CASE("A restarted home VM may spend its part of the allowance at once") {
+  budget_options options;
+  options.window = seconds{5};
+  options.start_delay = options.outstanding_time();
+  options.restart_limit_fraction = 0.05;
+  options.restart_tokens = whole_tokens(10);
+  home_bucket bucket{options, {}};
+  bucket.set_share({whole_tokens(30), whole_tokens(30)}, {0, 3}, start);
+  bucket.advance_to(start + *options.start_delay);
+
+  // A twentieth of the limit of 60 at this VM, and a third of the tokens.
+  CHECK(bucket.level() >= whole_tokens(3) + millitokens{3'333});
+  CHECK(bucket.level() <= whole_tokens(7));
+}
+
 // Guards against a start delay that also shortens the delay of a share that moves between VMs.
 TEST_CASE("A larger part of the rate still waits after a start delay") {
   budget_options options;
--- a/packages/limits/loan.h
+++ b/packages/limits/loan.h
@@ -36,7 +36,7 @@
   /// Delay before the first share of a process takes effect; `raise_delay()` if not set.
   /// A shorter delay lets a restarted VM spend sooner. With it, the share of a VM that is
   /// new to the fleet comes on top of the customer's rate until the other VMs have the
-  /// document that names the new VM.
+  /// document that names the new VM, and the previous process of a VM must have stopped within it.
   std::optional<duration> start_delay = std::nullopt;
   /// A home VM that has not replied for this long is asked again only after a back-off.
   duration answer_timeout = std::chrono::milliseconds{10};
@@ -47,6 +47,11 @@
   /// Span in which the operators count a customer's requests: at most rate x window + burst. Zero
   /// limits by token buckets of rate and burst instead.
   duration window{};
+  /// What a customer may spend at once after all its home VMs restarted, on top of what their earlier
+  /// processes admitted in the window: a part of its limit, and tokens. Must be below the excess that
+  /// the operators tolerate.
+  double restart_limit_fraction = 0;
+  millitokens restart_tokens{};
   std::size_t homes_per_customer = 5;  ///< Most home VMs of a customer.
   std::size_t waiting_bound = 64;      ///< Most requests of one customer that wait at one VM.
 
--- a/packages/limits/window_limiter.cc
+++ b/packages/limits/window_limiter.cc
@@ -82,6 +82,10 @@
   level_ = std::min(level_, capacity());
 }
 
+void window_limiter::set_start_level(millitokens allowance) {
+  level_ = std::min(static_cast<double>(allowance.value()), capacity());
+}
+
 void window_limiter::advance_to(time_point now) {
   if (advanced_to_ == time_point{}) advanced_to_ = now;
   while (advanced_to_ < now) {
--- a/packages/limits/window_limiter.h
+++ b/packages/limits/window_limiter.h
@@ -17,8 +17,8 @@
 /// admits a large part of the limit at once, and under lasting excess demand it admits the
 /// limit evenly, so that no customer waits for most of a window after its first burst.
 ///
-/// A new limiter knows nothing of what an earlier process admitted. It starts empty, and refills
-/// slowly during its first window.
+/// A new limiter knows nothing of what an earlier process admitted. It starts with no more than a
+/// stated allowance, and refills slowly during its first window.
 ///
 ///     window_limiter limiter{seconds{5}};
 ///     limiter.set_share({rate, burst}, now);
@@ -36,6 +36,10 @@
   /// Sets rate and burst. The admissions of the last window stay counted.
   void set_share(const budget_share& share, time_point now);
 
+  /// Sets the level of a new limiter.
+  /// @param allowance as much of it as the bucket holds may be taken at once.
+  void set_start_level(millitokens allowance);
+
   /// Refills the bucket and drops admissions that have left the window.
   void advance_to(time_point now);
 
