--- a/packages/entry/budget_adapter.h
+++ b/packages/entry/budget_adapter.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "entry/entry_context.h"
@@ -31,12 +32,17 @@
   /// Sets the VMs that are not asked for loans.
   void set_unreachable(std::set<vm_id> vms) { controller_.set_unreachable(std::move(vms)); }
 
+  /// Logs a customer's refused operation with the inputs of the decision.
+  void log_refusal(const customer_id& customer, std::string_view request_id, std::string_view database);
+
   /// Decides whether to admit one operation, which costs one token.
   /// @param done called once: from within this call, or later when a loan arrives or the wait for
   ///   it times out.
   void admit(const customer_id& customer, admit_callback done);
 
  private:
+  /// @return whether the previous process of this VM started less than two windows before this one.
+  [[nodiscard]] bool has_restarted_lately() const;
   void perform(const budget_actions& actions);
   void run(const send_loan_request& action);
   void run(const send_loan_reply& action);
@@ -49,6 +55,8 @@
 
   entry_context& context_;
   peer_adapter& peers_;
+  budget_options options_;
+  time_point process_start_;
   budget_controller controller_;
   budget_document document_;
   std::map<budget_ticket, admit_callback> waiting_;
--- a/packages/limits/budget_fleet_fake.h
+++ b/packages/limits/budget_fleet_fake.h
@@ -14,10 +14,11 @@
 #include <vector>
 
 #include "limits/budget_controller.h"
+#include "limits/window_oracle_fake.h"
 
 /// @file
 /// A fleet of budget controllers in simulated time, with fault injection and an oracle: one
-/// global token bucket for each customer.
+/// global token bucket for each customer, or one count over the window if the options name one.
 
 namespace bulrushlift {
 
@@ -76,7 +77,7 @@
   void pause(std::size_t instance, duration span);
   /// Ends a process and starts its successor at once, unless one runs already.
   void crash(std::size_t instance);
-  /// Starts a successor while the old process runs on for up to 6.9 s.
+  /// Starts a successor while the old process runs on, for up to 6.9 s or the start delay if there is one.
   void replace(std::size_t instance);
   /// Publishes a document; each process gets it at a random time within the dissemination bound.
   void publish(budget_document document);
@@ -135,6 +136,7 @@
   void step(loan_step what, std::size_t index);
   void spend(const customer_id& customer, millitokens cost);
   void retire_documents();
+  void note_restart();
   void check_total_tokens();
 
   budget_options options_;
@@ -146,12 +148,14 @@
   budget_document document_;
   std::map<std::uint64_t, budget_document> documents_;
   std::map<std::uint64_t, duration> end_times_;  ///< When a superseded document is no longer in force.
+  std::map<vm_id, duration> last_starts_;
   duration vms_changed_{};
   std::vector<std::unique_ptr<instance>> instances_;
   std::vector<message> messages_;
   std::set<std::pair<vm_id, vm_id>> partitions_;
   message_conditions conditions_;
   std::map<customer_id, global_bucket_oracle> oracles_;
+  std::map<customer_id, global_window_oracle> window_oracles_;  ///< Used if the options name a window.
   std::uint64_t admitted_ = 0;
   std::uint64_t refused_ = 0;
   std::optional<std::string> violation_;
--- a/packages/limits/loan.h
+++ b/packages/limits/loan.h
@@ -36,7 +36,7 @@
   /// Delay before the first share of a process takes effect; `raise_delay()` if not set.
   /// A shorter delay lets a restarted VM spend sooner. With it, the share of a VM that is
   /// new to the fleet comes on top of the customer's rate until the other VMs have the
-  /// document that names the new VM.
+  /// document that names the new VM, and the previous process of a VM must have stopped within it.
   std::optional<duration> start_delay = std::nullopt;
   /// A home VM that has not replied for this long is asked again only after a back-off.
   duration answer_timeout = std::chrono::milliseconds{10};
@@ -44,17 +44,26 @@
   /// it doubles with each such result, up to `retry_pause_max`.
   duration retry_pause = std::chrono::milliseconds{20};
   duration retry_pause_max = std::chrono::milliseconds{320};
-  std::size_t waiting_bound = 64;  ///< Most requests of one customer that wait at one VM.
+  /// Span in which the operators count a customer's requests: at most rate x window + burst. Zero
+  /// limits by token buckets of rate and burst instead.
+  duration window{};
+  /// What a customer may spend at once after all its home VMs restarted, on top of what their earlier
+  /// processes admitted in the window: a part of its limit, and tokens. Must be below the excess that
+  /// the operators tolerate.
+  double restart_limit_fraction = 0;
+  millitokens restart_tokens{};
+  std::size_t homes_per_customer = 5;  ///< Most home VMs of a customer.
+  std::size_t waiting_bound = 64;      ///< Most requests of one customer that wait at one VM.
 
   /// @return how long the lender counts a loan as outstanding: 5 % longer than the
   ///   borrower may use it, because the clocks of both VMs may be off by up to 1 %.
   [[nodiscard]] duration outstanding_time() const noexcept { return loan_lifetime + loan_lifetime / 20; }
 
-  /// @return how long a higher share is delayed: until every VM has the document and
-  ///   the loans made under the old shares have expired. The added 2 % allow for a local
-  ///   clock that is up to 1 % fast.
+  /// @return how long a larger part of a customer's rate is delayed: until every VM has the document,
+  ///   the loans made under the old shares have expired, and what was spent from these has left the
+  ///   window. The added 2 % allow for a local clock that is up to 1 % fast.
   [[nodiscard]] duration raise_delay() const noexcept {
-    const auto longest = dissemination_bound + outstanding_time();
+    const auto longest = dissemination_bound + outstanding_time() + window;
     return longest + longest / 50;
   }
 };
