Hold a customer's limit at five home VMs again

Cause: with three home VMs a customer loses a third of its limit while one of them is gone, and the record of a VM that is replaced under another name stays.

Change: five home VMs, as in the HTTP product; fewer when a home VM would hold less than 8 operations of the window.

Giving back the share of a VM that is gone stays open (docs/platform.md, Open).

--- a/packages/entry/budget_adapter.cc
+++ b/packages/entry/budget_adapter.cc
@@ -16,9 +16,6 @@
 
 millitokens to_millitokens(double value) { return millitokens{std::llround(value * 1'000)}; }
 
-// With three home VMs, two hold enough of a customer's limit for its usual demand.
-constexpr std::size_t homes_per_customer = 3;
-
 // Loans are spent as soon as they arrive, so that a short lifetime wastes few, and a restarted home VM
 // waits only for the loans of its previous process.
 constexpr duration loan_lifetime = std::chrono::milliseconds{120};
@@ -33,7 +30,6 @@
 budget_options options_of(const entry_settings& settings) {
   budget_options value;
   value.window = settings.rate_window;
-  value.homes_per_customer = homes_per_customer;
   value.restart_limit_fraction = settings.rate_overage * restart_part;
   value.restart_tokens = to_millitokens(settings.rate_slack * restart_part);
   value.dissemination_bound = settings.configuration_bound;
--- a/packages/limits/budget_controller.cc
+++ b/packages/limits/budget_controller.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // A home VM with a smaller part of a window's limit would rarely have a whole token.
-constexpr auto min_limit_per_home = whole_tokens(4);
+constexpr auto min_limit_per_home = whole_tokens(8);
 
 /// @return the number of home VMs of a customer, at least 1.
 std::size_t home_count(const budget_share& share, const budget_options& options) {
--- a/packages/limits/budget_controller_fuzz.cc
+++ b/packages/limits/budget_controller_fuzz.cc
@@ -33,7 +33,6 @@
 TEST_CASE("no fault lets a customer exceed the limit of a window") {
   budget_options options;
   options.window = std::chrono::seconds{5};
-  options.homes_per_customer = 3;
   options.dissemination_bound = std::chrono::seconds{3};
   options.loan_lifetime = std::chrono::milliseconds{120};
   options.loan_wait = std::chrono::milliseconds{60};
--- a/packages/limits/budget_mutation_test.cc
+++ b/packages/limits/budget_mutation_test.cc
@@ -40,7 +40,6 @@
 budget_options windowed_options() {
   budget_options options;
   options.window = std::chrono::seconds{5};
-  options.homes_per_customer = 3;
   options.dissemination_bound = std::chrono::seconds{3};
   options.loan_lifetime = std::chrono::milliseconds{120};
   options.loan_wait = std::chrono::milliseconds{60};
--- a/packages/limits/loan.h
+++ b/packages/limits/loan.h
@@ -52,8 +52,10 @@
   /// the operators tolerate.
   double restart_limit_fraction = 0;
   millitokens restart_tokens{};
-  std::size_t homes_per_customer = 5;  ///< Most home VMs of a customer.
-  std::size_t waiting_bound = 64;      ///< Most requests of one customer that wait at one VM.
+  /// Most home VMs of a customer. Without one of five the others hold enough for a demand of 0.8 of the
+  /// limit.
+  std::size_t homes_per_customer = 5;
+  std::size_t waiting_bound = 64;  ///< Most requests of one customer that wait at one VM.
 
   /// @return how long the lender counts a loan as outstanding: 5 % longer than the
   ///   borrower may use it, because the clocks of both VMs may be off by up to 1 %.
