Take store answers with fields of another type as incomplete

Cause: a watch or a listing whose "more" or "removed" is no boolean ended the process with an exception of the JSON library (type_error.302).

Change: flags and arrays of an answer are read with a check of their type; a wrong one counts as missing.

--- a/packages/platform/object_store.cc
+++ b/packages/platform/object_store.cc
@@ -47,6 +47,19 @@
   return object_version{position->get<std::uint64_t>()};
 }
 
+/// @return a flag of a response; false if it is missing or no boolean.
+bool decode_flag(const json& object, const char* name) {
+  const auto it = object.find(name);
+  return it != object.end() && it->is_boolean() && it->get<bool>();
+}
+
+/// @return an array of a response; empty if it is missing or no array.
+const json& decode_array(const json& object, const char* name) {
+  static const json none = json::array();
+  const auto it = object.find(name);
+  return it != object.end() && it->is_array() ? *it : none;
+}
+
 error status_error(const http_response& response) {
   const auto text = fmt::format("the store answered {}", response.status);
   switch (response.status) {
@@ -105,10 +118,10 @@
     const auto body = body_of(response);
     if (!body) return done(tl::unexpected<error>(body.error()));
     object_page page;
-    for (const auto& each : body->value("items", json::array())) {
+    for (const auto& each : decode_array(*body, "items")) {
       if (auto object = decode_object(each)) page.objects.push_back(std::move(*object));
     }
-    page.has_more = body->value("more", false);
+    page.has_more = decode_flag(*body, "more");
     page.position = decode_position(*body);
     done(std::move(page));
   });
@@ -123,10 +136,10 @@
     const auto body = body_of(response);
     if (!body) return done(tl::unexpected<error>(body.error()));
     object_events changes;
-    for (const auto& each : body->value("events", json::array())) {
+    for (const auto& each : decode_array(*body, "events")) {
       if (!each.is_object()) continue;
       auto object = decode_object(each.value("object", json{}));
-      if (object) changes.events.push_back({std::move(*object), each.value("removed", false)});
+      if (object) changes.events.push_back({std::move(*object), decode_flag(each, "removed")});
     }
     changes.position = decode_position(*body);
     done(std::move(changes));
