Keep the transactions of a VM that was only silent

Cause: the owner of a service rolled back the open transactions of another VM as soon as that VM was taken for dead, about a second after its last answer. A VM that was paused for longer found its transactions gone.

Change: relayed transactions end when the store names a later process of their VM, or at the idle limit.

Ruled out: the incarnation of the membership, which also grows when a living process refutes a suspicion.

Right after a restart that the store does not name yet, a transaction of the new process may still be ended when the store names it; the caller hears ABORTED, which is true.

--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -293,5 +293,23 @@
   CHECK(deployment.database->value_of("hide") == "7");
 }
 
+// Guards against an owner that gives up the transactions of a VM which was only silent for a while.
+TEST_CASE("A transaction goes on after the VM of its session was paused") {
+  session_deployment deployment{"session_paused_caller", 3};
+  const std::size_t other = deployment.owner() == 0 ? 1 : 0;
+  const auto caller = deployment.session(other, "orders");
+  CHECK(caller->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
+  CHECK(caller->ask_joined("QUERY t1 WRITE hide 8").starts_with("COMPLETE signed|READY T"));
+
+  deployment.process(other).signal(SIGSTOP);
+  // The other VMs take a silent VM for dead within about a second.
+  deployment.loop.run_for(std::chrono::seconds{3});
+  deployment.process(other).signal(SIGCONT);
+
+  CHECK(caller->ask_joined("QUERY t2 READ hide").starts_with("ROW 8|COMPLETE signed|READY T"));
+  CHECK(caller->ask_joined("QUERY c1 COMMIT").starts_with("COMPLETE signed|READY I"));
+  CHECK(deployment.database->value_of("hide") == "8");
+}
+
 }  // namespace
 }  // namespace bulrushlift::entry
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -27,12 +27,11 @@
 constexpr duration idle_limit_allowance = milliseconds{500};
 constexpr duration default_idle_limit = std::chrono::seconds{3};
 
-/// @return whether a VM may still have sessions. A VM that leaves accepts no new sessions, but
-///   completes those that it has.
-bool may_have_sessions(const std::vector<member>& members, const vm_id& vm) {
-  const auto it =
-      std::find_if(members.begin(), members.end(), [&](const member& each) { return each.vm == vm; });
-  return it != members.end() && it->state != member_state::dead;
+/// @return the incarnation of a VM's process that the store names; 0 if it names none. That of a member does
+///   not serve here: it also grows when a living process refutes a suspicion.
+incarnation_id process_of(const shared_state& shared, const vm_id& vm) {
+  const auto it = shared.vms.find(vm);
+  return it == shared.vms.end() ? incarnation_id{} : it->second.incarnation;
 }
 
 }  // namespace
@@ -208,7 +207,8 @@
   if (value.transaction.connection) {
     if (number == 0) number = ++last_transaction_number_;
     relayed_.insert_or_assign(
-        number, relayed_transaction{sender, value.transaction.connection, false, context_.loop.now()});
+        number, relayed_transaction{sender, process_of(context_.shared, sender), value.transaction.connection,
+                                    false, context_.loop.now()});
   } else {
     relayed_.erase(number);
     number = 0;
@@ -238,7 +238,10 @@
   for (const auto& [number, each] : relayed_) {
     if (each.is_running) continue;
     const bool is_silent = now - each.last_used >= limit;
-    if (is_silent || !may_have_sessions(context_.shared.members, each.sender)) expired.push_back(number);
+    // A VM that is taken for dead may only have been paused, and goes on with its sessions. They are lost for
+    // certain when another process of it has started.
+    const bool has_restarted = process_of(context_.shared, each.sender) > each.sender_incarnation;
+    if (is_silent || has_restarted) expired.push_back(number);
   }
   for (const auto number : expired) {
     const auto node = relayed_.extract(number);
