Split the end of a session from caller_session.cc

How a session and its transaction end (caller, configuration, idle time, shutdown) stands in caller_session_lifecycle.cc; no change of behaviour.

--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -34,16 +34,6 @@
   clean_up();
 }
 
-void caller_session::clean_up() {
-  if (running_) {
-    router_.cancel(running_);
-    // A running statement holds the connection of its transaction and releases it when it ends.
-    if (transaction_) transaction_->location = {};
-    running_ = nullptr;
-  }
-  release_transaction();
-}
-
 bool caller_session::is_idle() const noexcept {
   return !is_busy_ && pending_messages_.empty() && !transaction_;
 }
@@ -77,43 +67,6 @@
   is_processing_ = false;
 }
 
-void caller_session::end() {
-  if (std::exchange(has_ended_, true)) return;
-  clean_up();
-  on_end_(*this);
-}
-
-void caller_session::close_if_idle(duration min_idle_time) {
-  connection_.read_available();
-  if (has_ended_ || !is_idle() || context_.loop.now() - last_answer_ < min_idle_time) return;
-  close();
-}
-
-void caller_session::close() {
-  connection_.close_when_sent();
-  end();
-}
-
-void caller_session::release_transaction() {
-  if (!transaction_) return;
-  router_.roll_back(std::exchange(transaction_->location, {}));
-  transaction_.reset();
-}
-
-void caller_session::abort_transaction(std::string_view reason) {
-  if (is_busy_ || !transaction_ || transaction_->has_failed) return;
-  log_warning("transaction_aborted",
-              {{"request_id", transaction_->begin.id}, {"database", database_}, {"reason", reason}});
-  router_.roll_back(std::exchange(transaction_->location, {}));
-  transaction_->has_failed = true;
-}
-
-void caller_session::on_tick(time_point now) {
-  if (is_busy_ || !transaction_ || !transaction_->location.is_set()) return;
-  const auto limit = transaction_->granted.environment->transaction_idle_limit;
-  if (now - transaction_->last_used >= limit) abort_transaction("the transaction was idle for too long");
-}
-
 customer_id caller_session::customer_of(const sql::environment& environment,
                                         const sql::database_route& route) const {
   const auto customer = environment.customer_of_key(key_);
@@ -133,18 +86,6 @@
   return std::nullopt;
 }
 
-void caller_session::on_configuration() {
-  if (!is_open_ || has_ended_) return;
-  access allowed;
-  const auto refusal = authorize(allowed);
-  if (!refusal) return;
-  if (transaction_ && refusal == caller_error::access_denied) abort_transaction("the key was revoked");
-  const bool has_no_pending_work = !is_busy_ && pending_messages_.empty();
-  if (has_no_pending_work && (!transaction_ || transaction_->has_failed)) {
-    refuse_and_close(*refusal, "no longer in the configuration");
-  }
-}
-
 void caller_session::handle(const platform::open_session& message) {
   if (is_open_) {
     refuse_and_close(caller_error::malformed, "the session is open already");
--- /dev/null
+++ b/packages/entry/caller_session_lifecycle.cc
@@ -0,0 +1,70 @@
+#include <utility>
+
+#include "base/log.h"
+#include "entry/caller_session.h"
+
+// How a session and its transaction end: by the caller, by a new configuration, after an idle time, or
+// because the VM shuts down.
+
+namespace bulrushlift::entry {
+
+void caller_session::clean_up() {
+  if (running_) {
+    router_.cancel(running_);
+    // A running statement holds the connection of its transaction and releases it when it ends.
+    if (transaction_) transaction_->location = {};
+    running_ = nullptr;
+  }
+  release_transaction();
+}
+
+void caller_session::end() {
+  if (std::exchange(has_ended_, true)) return;
+  clean_up();
+  on_end_(*this);
+}
+
+void caller_session::close_if_idle(duration min_idle_time) {
+  connection_.read_available();
+  if (has_ended_ || !is_idle() || context_.loop.now() - last_answer_ < min_idle_time) return;
+  close();
+}
+
+void caller_session::close() {
+  connection_.close_when_sent();
+  end();
+}
+
+void caller_session::release_transaction() {
+  if (!transaction_) return;
+  router_.roll_back(std::exchange(transaction_->location, {}));
+  transaction_.reset();
+}
+
+void caller_session::abort_transaction(std::string_view reason) {
+  if (is_busy_ || !transaction_ || transaction_->has_failed) return;
+  log_warning("transaction_aborted",
+              {{"request_id", transaction_->begin.id}, {"database", database_}, {"reason", reason}});
+  router_.roll_back(std::exchange(transaction_->location, {}));
+  transaction_->has_failed = true;
+}
+
+void caller_session::on_tick(time_point now) {
+  if (is_busy_ || !transaction_ || !transaction_->location.is_set()) return;
+  const auto limit = transaction_->granted.environment->transaction_idle_limit;
+  if (now - transaction_->last_used >= limit) abort_transaction("the transaction was idle for too long");
+}
+
+void caller_session::on_configuration() {
+  if (!is_open_ || has_ended_) return;
+  access allowed;
+  const auto refusal = authorize(allowed);
+  if (!refusal) return;
+  if (transaction_ && refusal == sql::caller_error::access_denied) abort_transaction("the key was revoked");
+  const bool has_no_pending_work = !is_busy_ && pending_messages_.empty();
+  if (has_no_pending_work && (!transaction_ || transaction_->has_failed)) {
+    refuse_and_close(*refusal, "no longer in the configuration");
+  }
+}
+
+}  // namespace bulrushlift::entry
