Let a customer go on at its new rate when its limit is lowered, and lend whole tokens

Parts of tokens that home VMs lent expired at borrowers before these had a whole token.

Change: a lower limit counts what is admitted after the change; the limit before it bounds the windows that began earlier, as the operators' rule says. With a window, a home VM that has less than was asked for lends whole tokens.

--- a/packages/limits/home_bucket.cc
+++ b/packages/limits/home_bucket.cc
@@ -87,6 +87,11 @@
   level_ = std::min(level_, free_capacity);
 }
 
+millitokens home_bucket::lendable(millitokens amount) const {
+  if (amount <= level() || !limiter_) return std::min(amount, level());
+  return whole_tokens(level().value() / whole_tokens(1).value());
+}
+
 millitokens home_bucket::restart_allowance() const {
   const auto limit = static_cast<double>(limit_in_window(share_, window_).value());
   const auto part = millitokens{static_cast<std::int64_t>(restart_limit_fraction_ * limit)};
@@ -108,7 +113,7 @@
   const auto expires = now + outstanding_time_;
   // Admissions that are older than any window are not counted.
   const auto spent_by = faults_.forgets_outstanding ? time_point{} : expires;
-  const auto lent = take_until(std::max(amount, millitokens{}), spent_by);
+  const auto lent = take_until(lendable(std::max(amount, millitokens{})), spent_by);
   if (lent == millitokens{} || faults_.forgets_outstanding) return lent;
   loans_.push_back({id, borrower, incarnation, lent, millitokens{}, expires});
   outstanding_ += lent;
--- a/packages/limits/home_bucket.h
+++ b/packages/limits/home_bucket.h
@@ -64,6 +64,11 @@
     time_point expires;
   };
 
+  /// Load pattern: a customer at its limit, whose home VMs hold parts of a token each. Parts that are lent
+  /// expire before the borrower has collected a whole token, so with a window only whole tokens are lent
+  /// when the level is below the amount.
+  /// @return what may be lent of `amount`.
+  [[nodiscard]] millitokens lendable(millitokens amount) const;
   /// @param spent_by latest time at which the tokens are spent.
   millitokens take_until(millitokens amount, time_point spent_by);
   void refill_until(time_point when);
--- a/packages/limits/home_bucket_test.cc
+++ b/packages/limits/home_bucket_test.cc
@@ -52,6 +52,25 @@
   CHECK(bucket.level() <= whole_tokens(7));
 }
 
+// Guards against parts of tokens that expire at borrowers, which lowers the limit of a customer in use.
+TEST_CASE("With a window a home VM lends whole tokens or the whole amount") {
+  budget_options options;
+  options.window = seconds{5};
+  options.start_delay = duration::zero();
+  home_bucket bucket{options, {}};
+  bucket.set_share({whole_tokens(2), whole_tokens(2)}, sole_home, start);
+  bucket.advance_to(start + milliseconds{750});
+  const auto level = bucket.level();
+  REQUIRE(level > whole_tokens(1));
+  REQUIRE(level < whole_tokens(2));
+
+  const vm_id borrower{"entry-2"};
+  const auto now = start + milliseconds{750};
+  CHECK(bucket.lend(loan_id{1}, borrower, incarnation_id{1}, whole_tokens(3), now) == whole_tokens(1));
+  CHECK(bucket.lend(loan_id{2}, borrower, incarnation_id{1}, whole_tokens(1), now) == millitokens{});
+  CHECK(bucket.lend(loan_id{3}, borrower, incarnation_id{1}, millitokens{10}, now) == millitokens{10});
+}
+
 // Guards against a start delay that also shortens the delay of a share that moves between VMs.
 TEST_CASE("A larger part of the rate still waits after a start delay") {
   budget_options options;
--- a/packages/limits/window_limiter.cc
+++ b/packages/limits/window_limiter.cc
@@ -66,18 +66,30 @@
   return std::max(burst_fraction_ * static_cast<double>(limit_.value()), static_cast<double>(least.value()));
 }
 
+millitokens window_limiter::room() const {
+  if (counted_earlier_ == millitokens{}) return limit_ - counted_;
+  return std::min(limit_ - (counted_ - counted_earlier_), earlier_limit_ - counted_);
+}
+
 double window_limiter::rate_per_second() const {
   const auto limit = static_cast<double>(limit_.value());
   const auto even_rate = limit / seconds_of(window_);
   if (first_window_end_ && advanced_to_ < *first_window_end_) return even_rate * first_window_refill;
-  if (static_cast<double>(counted_.value()) < slow_refill_use * limit) return even_rate;
+  if (static_cast<double>(room().value()) > (1 - slow_refill_use) * limit) return even_rate;
   const auto burstiness = (burst_fraction_ - min_burst_fraction) / (max_burst_fraction - min_burst_fraction);
   return even_rate * (1 - (1 - slow_refill) * burstiness);
 }
 
 void window_limiter::set_share(const budget_share& share, time_point now) {
   advance_to(now);
-  limit_ = limit_in_window(share, window_);
+  const auto limit = limit_in_window(share, window_);
+  if (limit < limit_ && counted_ > millitokens{}) {
+    earlier_limit_ = counted_earlier_ > millitokens{} ? std::max(limit_, earlier_limit_) : limit_;
+    counted_earlier_ = counted_;
+    lowered_in_slot_ = admitted_.rbegin()->first;
+  }
+  limit_ = limit;
+  earlier_limit_ = std::max(earlier_limit_, limit_);
   if (!first_window_end_ && limit_ > millitokens{}) first_window_end_ = now + window_;
   level_ = std::min(level_, capacity());
 }
@@ -109,7 +121,9 @@
 
 void window_limiter::drop_until(time_point when) {
   while (!admitted_.empty() && end_of(admitted_.begin()->first) <= when) {
-    counted_ -= admitted_.begin()->second;
+    const auto& [slot, amount] = *admitted_.begin();
+    counted_ -= amount;
+    if (slot <= lowered_in_slot_) counted_earlier_ -= std::min(amount, counted_earlier_);
     admitted_.erase(admitted_.begin());
   }
 }
--- a/packages/limits/window_limiter.h
+++ b/packages/limits/window_limiter.h
@@ -33,7 +33,8 @@
   /// @param window span in which requests are counted; above zero.
   explicit window_limiter(duration window);
 
-  /// Sets rate and burst. The admissions of the last window stay counted.
+  /// Sets rate and burst. A lower limit counts what is admitted from now on; the limit before it
+  /// bounds the windows that began earlier.
   void set_share(const budget_share& share, time_point now);
 
   /// Sets the level of a new limiter.
@@ -59,7 +60,8 @@
   [[nodiscard]] static budget_share relaxed_bucket(const budget_share& share, duration window);
 
  private:
-  [[nodiscard]] millitokens room() const { return limit_ - counted_; }
+  /// @return what the window has room for.
+  [[nodiscard]] millitokens room() const;
   [[nodiscard]] double capacity() const;
   [[nodiscard]] double rate_per_second() const;
   void refill_until(time_point when);
@@ -72,7 +74,11 @@
   duration window_;
   duration slot_;
   millitokens limit_;
-  millitokens counted_;                           ///< Sum of `admitted_`.
+  millitokens counted_;  ///< Sum of `admitted_`.
+  /// The limit before it was lowered, and the part of `counted_` that was counted by then.
+  millitokens earlier_limit_;
+  millitokens counted_earlier_;
+  std::int64_t lowered_in_slot_ = 0;              ///< Newest slot at that time.
   std::map<std::int64_t, millitokens> admitted_;  ///< Admissions of the window by time slot.
   double level_ = 0;                              ///< Level of the bucket in millitokens.
   double burst_fraction_;                         ///< Part of the limit that the bucket can hold.
