--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -26,23 +26,14 @@
       router_(router),
       budgets_(budgets),
       on_end_(std::move(on_end)),
-      connection_(context.loop, *this) {}
+      connection_(context.loop, *this),
+      last_answer_(context.loop.now()) {}
 
 caller_session::~caller_session() {
   *is_alive_ = false;
   clean_up();
 }
 
-void caller_session::clean_up() {
-  if (running_) {
-    router_.cancel(running_);
-    // A running statement holds the connection of its transaction and releases it when it ends.
-    if (transaction_) transaction_->location = {};
-    running_ = nullptr;
-  }
-  release_transaction();
-}
-
 bool caller_session::is_idle() const noexcept {
   return !is_busy_ && pending_messages_.empty() && !transaction_;
 }
@@ -76,37 +67,6 @@
   is_processing_ = false;
 }
 
-void caller_session::end() {
-  if (std::exchange(has_ended_, true)) return;
-  clean_up();
-  on_end_(*this);
-}
-
-void caller_session::close() {
-  connection_.close_when_sent();
-  end();
-}
-
-void caller_session::release_transaction() {
-  if (!transaction_) return;
-  router_.roll_back(std::exchange(transaction_->location, {}));
-  transaction_.reset();
-}
-
-void caller_session::abort_transaction(std::string_view reason) {
-  if (is_busy_ || !transaction_ || transaction_->has_failed) return;
-  log_warning("transaction_aborted",
-              {{"request_id", transaction_->begin.id}, {"database", database_}, {"reason", reason}});
-  router_.roll_back(std::exchange(transaction_->location, {}));
-  transaction_->has_failed = true;
-}
-
-void caller_session::on_tick(time_point now) {
-  if (is_busy_ || !transaction_ || !transaction_->location.is_set()) return;
-  const auto limit = transaction_->granted.environment->transaction_idle_limit;
-  if (now - transaction_->last_used >= limit) abort_transaction("the transaction was idle for too long");
-}
-
 customer_id caller_session::customer_of(const sql::environment& environment,
                                         const sql::database_route& route) const {
   const auto customer = environment.customer_of_key(key_);
@@ -126,23 +86,15 @@
   return std::nullopt;
 }
 
-void caller_session::on_configuration() {
-  if (!is_open_ || has_ended_) return;
-  access allowed;
-  const auto refusal = authorize(allowed);
-  if (!refusal) return;
-  if (transaction_ && refusal == caller_error::access_denied) abort_transaction("the key was revoked");
-  const bool has_no_pending_work = !is_busy_ && pending_messages_.empty();
-  if (has_no_pending_work && (!transaction_ || transaction_->has_failed)) {
-    refuse_and_close(*refusal, "no longer in the configuration");
-  }
-}
-
 void caller_session::handle(const platform::open_session& message) {
   if (is_open_) {
     refuse_and_close(caller_error::malformed, "the session is open already");
     return;
   }
+  if (context_.shared.is_refusing_sessions) {
+    refuse_and_close(caller_error::busy, "the VM is shutting down");
+    return;
+  }
   database_ = message.database;
   key_ = message.key;
   access allowed;
@@ -375,6 +327,7 @@
 }
 
 void caller_session::send_ready(std::string& lines, const std::optional<log_point>& point) {
+  last_answer_ = context_.loop.now();
   platform::append_ready(lines, state(), point);
   connection_.send(lines);
 }
--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -235,6 +235,24 @@
   CHECK(exit_code == 0);
 }
 
+// Guards against a session that is accepted during a shutdown and closed before its first statement.
+TEST_CASE("Each session that a VM opens while it shuts down can run a statement") {
+  session_deployment deployment{"session_drain_open", 2};
+  static_cast<void>(deployment.session(0, "orders"));
+  deployment.process(0).signal(SIGTERM);
+
+  std::size_t served = 0;
+  while (true) {
+    const auto caller = deployment.connect(0);
+    if (caller->ask_joined("START orders key-shop") != "READY I -") break;
+    // Longer than the interval at which the VM closes idle sessions.
+    deployment.loop.run_for(std::chrono::milliseconds{120});
+    CHECK(caller->ask_joined("QUERY r1 READ hide").find("READY I") != std::string::npos);
+    ++served;
+  }
+  CHECK(served > 0);
+}
+
 // Guards against the first statement of a transaction that runs twice: on another VM, and after
 // the end of the transaction on the owner, which was paused meanwhile.
 TEST_CASE("The first statement of a transaction runs once although its owner was paused") {
@@ -275,5 +293,23 @@
   CHECK(deployment.database->value_of("hide") == "7");
 }
 
+// Guards against an owner that gives up the transactions of a VM which was only silent for a while.
+TEST_CASE("A transaction goes on after the VM of its session was paused") {
+  session_deployment deployment{"session_paused_caller", 3};
+  const std::size_t other = deployment.owner() == 0 ? 1 : 0;
+  const auto caller = deployment.session(other, "orders");
+  CHECK(caller->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
+  CHECK(caller->ask_joined("QUERY t1 WRITE hide 8").starts_with("COMPLETE signed|READY T"));
+
+  deployment.process(other).signal(SIGSTOP);
+  // The other VMs take a silent VM for dead within about a second.
+  deployment.loop.run_for(std::chrono::seconds{3});
+  deployment.process(other).signal(SIGCONT);
+
+  CHECK(caller->ask_joined("QUERY t2 READ hide").starts_with("ROW 8|COMPLETE signed|READY T"));
+  CHECK(caller->ask_joined("QUERY c1 COMMIT").starts_with("COMPLETE signed|READY I"));
+  CHECK(deployment.database->value_of("hide") == "8");
+}
+
 }  // namespace
 }  // namespace bulrushlift::entry
