Keep two tests of the shutdown independent of a machine that stalls

Cause: the path test of sessions that are opened during a shutdown waited 120 ms before its statement, and the VM closes sessions after 200 ms; a test process that stalls for 80 ms would have failed it. The HTTP test counted an expected request within 500 ms.

Change: the path test waits 70 ms and measures the whole time of a session; only below 200 ms must the statement be answered, which is what the VM promises. The HTTP test gives new connections 60 s, and 50 ms where it waits for the end.

--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -244,11 +244,15 @@
   std::size_t served = 0;
   while (true) {
     const auto caller = deployment.connect(0);
+    const auto opened = deployment.loop.now();
     if (caller->ask_joined("START orders key-shop") != "READY I -") break;
     // Longer than the interval at which the VM closes idle sessions.
-    deployment.loop.run_for(std::chrono::milliseconds{120});
-    CHECK(caller->ask_joined("QUERY r1 READ hide").find("READY I") != std::string::npos);
-    ++served;
+    deployment.loop.run_for(std::chrono::milliseconds{70});
+    const bool is_answered = caller->ask_joined("QUERY r1 READ hide").find("READY I") != std::string::npos;
+    // On a machine that stalls, the session may have been idle for long enough to be closed.
+    const bool has_stalled = deployment.loop.now() - opened >= std::chrono::milliseconds{200};
+    CHECK((is_answered || has_stalled));
+    if (is_answered) ++served;
   }
   CHECK(served > 0);
 }
--- a/packages/net/http_drain_test.cc
+++ b/packages/net/http_drain_test.cc
@@ -56,10 +56,11 @@
 };
 
 struct order_server {
-  explicit order_server(event_loop& loop)
-      : server(loop, {}, [](const http_request&, const http_responder& respond) {
-          respond(json_response(200, "{}"));
-        }) {
+  /// @param first_request_time longer than any stall of the machine, unless a test waits for its end.
+  explicit order_server(event_loop& loop, duration first_request_time = seconds{60})
+      : server(
+            loop, {.first_request_time = first_request_time},
+            [](const http_request&, const http_responder& respond) { respond(json_response(200, "{}")); }) {
     const auto bound = server.listen({"127.0.0.1", 0});
     REQUIRE(bound);
     address = *bound;
@@ -113,7 +114,7 @@
 // Guards against a silent connection that delays the end of a drain.
 TEST_CASE("a connection without a request is not expected to send one for ever") {
   event_loop loop;
-  order_server orders{loop};
+  order_server orders{loop, milliseconds{50}};
   blocking_caller caller{orders.address};
   orders.server.stop_listening();
   const auto end = loop.now() + seconds{60};
