Run the statements of an open transaction on its connection only

While a target fails part of its statements (srv_grey errors), a read inside a transaction that got FAILED was tried again like a single read, on any connection.

Change: only statements outside of an open transaction, and the first of one, are tried again after such an error; the others end the transaction as aborted. Changes of VMs are read from the store at once again: with a pause of 300 ms VMs that had just started knew different members and chose different owners, and a path test failed once in a run of all tests ("The first statement of a transaction runs once although its owner was paused").

--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -265,7 +265,9 @@
   if (attempt.error) {
     return_connection(connection, attempt);
     const bool may_be_committed = item->is_commit() || (!item->is_in_transaction() && item->is_write());
-    if (!may_be_committed && retry(item, connection->target, duration::zero())) return;
+    // A statement of an open transaction runs on the connection of that transaction only.
+    const bool can_run_elsewhere = !may_be_committed && !item->pinned.is_set();
+    if (can_run_elsewhere && retry(item, connection->target, duration::zero())) return;
     if (item->is_in_transaction() && !item->is_commit()) {
       fail(item, caller_error::aborted, attempt.error_text);
     } else if (attempt.error == target_error::failed) {
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -23,14 +23,15 @@
 constexpr duration long_watch_wait = seconds{15};
 const service_id configuration_placement_key{"configuration"};
 
-// Changes of targets and VMs matter within about a second, so those in quick succession are read together.
+// Changes of targets matter within about a second, so those in quick succession are read together. Changes of
+// VMs are read at once: VMs that know different members choose different owners.
 constexpr duration change_pause = milliseconds{300};
 
 constexpr mirror_options configuration_options{short_watch_wait, duration::zero(), duration::zero()};
 // Targets whose entries expired during an outage of the store write them again within about two
 // seconds.
 constexpr mirror_options target_options{seconds{5}, milliseconds{2'500}, change_pause};
-constexpr mirror_options vm_options{seconds{20}, seconds{5}, change_pause};
+constexpr mirror_options vm_options{seconds{20}, seconds{5}, duration::zero()};
 // A long wait is enough: the store refuses a claim that is based on an outdated version.
 constexpr mirror_options promotion_options{seconds{20}, duration::zero(), duration::zero()};
 
