--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -235,6 +235,20 @@
   CHECK(exit_code == 0);
 }
 
+// Guards against a read inside a transaction that fails and is then run on another connection.
+TEST_CASE("A failed read of an open transaction is not run outside of it") {
+  session_deployment deployment{"session_failed_read", 2};
+  const auto caller = deployment.session(deployment.owner(), "orders");
+  CHECK(caller->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
+  CHECK(caller->ask_joined("QUERY t1 READ hide").find("READY T") != std::string::npos);
+  for (const auto& member : deployment.database->members()) {
+    deployment.database->faults_of(member).failed_reads = 1;
+  }
+
+  CHECK(caller->ask_joined("QUERY t2 READ hide").starts_with("ERROR ABORTED"));
+  CHECK(count_runs(deployment, "t2") == 0);
+}
+
 // Guards against a session that is accepted during a shutdown and closed before its first statement.
 TEST_CASE("Each session that a VM opens while it shuts down can run a statement") {
   session_deployment deployment{"session_drain_open", 2};
--- a/packages/standins/session_database.cc
+++ b/packages/standins/session_database.cc
@@ -187,6 +187,11 @@
     from.state = 'T';
     return complete_line("-");
   }
+  if (verb == "READ" && id != "-" && faults_[from.member.id].failed_reads > 0) {
+    --faults_[from.member.id].failed_reads;
+    if (from.state == 'T') from.state = 'E';
+    return error_line("FAILED");
+  }
   if (verb == "ROLLBACK") {
     from.state = 'I';
     from.writes.clear();
--- a/packages/standins/session_database.h
+++ b/packages/standins/session_database.h
@@ -41,6 +41,7 @@
 struct database_faults {
   int lost_answers = 0;    ///< Statements to run without an answer; the connection is closed.
   int refused_begins = 0;  ///< BEGIN statements to answer with LAGGING.
+  int failed_reads = 0;    ///< READ statements to answer with FAILED; a transaction fails with them.
   bool is_silent = false;  ///< Accepts connections but ignores all their lines.
 };
 
