Log which VMs watch the configuration for all

Cause: when a change was in force late, the logs told when each VM lost the store, but not which VMs the others relied on to watch the configuration, so that a lost watcher could not be told from a lost event.

Change: a VM logs configuration_watcher_changed when it begins or ceases to watch with the short wait.

Conclusion: the VMs that watch are chosen by membership alone and may be just those without the store.

--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -237,8 +237,10 @@
 void store_adapter::on_members() {
   const auto placement = place_service(configuration_placement_key, context_.shared.members);
   const auto& self = context_.settings.vm;
-  const bool uses_short_wait = placement && (placement->owner == self || placement->standby == self);
-  configuration_.set_watch_wait(uses_short_wait ? short_watch_wait : long_watch_wait);
+  const bool is_watcher = placement && (placement->owner == self || placement->standby == self);
+  configuration_.set_watch_wait(is_watcher ? short_watch_wait : long_watch_wait);
+  if (std::exchange(is_watcher_, is_watcher) == is_watcher) return;
+  log_info("configuration_watcher_changed", {{"is_watcher", is_watcher}});
 }
 
 void store_adapter::claim(const platform::promotion_record& record,
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -76,6 +76,7 @@
   store_mirror promotions_;
   std::map<target_id, service_id> service_of_target_;
   bool is_announcing_ = false;
+  bool is_watcher_ = false;  ///< This VM watches the configuration with the short wait.
   scoped_timer announce_timer_;
 };
 
