Check the configuration when no VM has confirmed it recently

Callers saw: on the grown sites sessions were refused with 404, or run, as an older configuration allowed, for up to nine seconds after the confirmation of a change.

Cause: two VMs, chosen by membership alone, watch the configuration for all. When the store turns both away, the others hear of no newer generation and keep their watch of 15 s, on connections that may be silent. "No news" and "nobody can know" were the same to them.

Change: heartbeats tell how long ago the generation in force was confirmed by the store. A VM that has heard of no confirmation for two thirds of the bound reads the configuration itself (fleet/confirmation_monitor, a decision without network). An allowance for each transfer keeps VMs from confirming each other for ever.

Whether this is what the operators saw is not proved.

--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -8,6 +8,7 @@
 
 #include "base/metrics.h"
 #include "entry/entry_settings.h"
+#include "fleet/confirmation_monitor.h"
 #include "fleet/membership_controller.h"
 #include "fleet/ownership_table.h"
 #include "net/event_loop.h"
@@ -24,7 +25,10 @@
 /// What the proxy knows at present. The component that writes a member is named beside it; all
 /// components read.
 struct shared_state {
+  shared_state(duration configuration_bound, std::uint64_t seed) : confirmations(configuration_bound, seed) {}
+
   std::shared_ptr<const sql::environment> environment;   ///< `store_adapter`; null until the first one.
+  confirmation_monitor confirmations;                    ///< `store_adapter`.
   std::map<service_id, sql::target_directory> services;  ///< `store_adapter` and `statement_runner`.
   std::map<vm_id, platform::vm_record> vms;              ///< `store_adapter`.
   std::vector<member> members;                           ///< `membership_adapter`.
@@ -53,7 +57,10 @@
 
 struct entry_context {
   entry_context(entry_settings values, incarnation_id start, std::uint64_t seed)
-      : settings(std::move(values)), incarnation(start), random(seed) {}
+      : settings(std::move(values)),
+        incarnation(start),
+        random(seed),
+        shared(settings.configuration_bound, seed) {}
 
   entry_settings settings;
   incarnation_id incarnation;
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -67,8 +67,8 @@
       router_(context, peers_, runner_),
       membership_(
           context, [this] { on_members(); }, [this] { context_.loop.stop(); },
-          [this](const vm_id& peer, generation_id generation) {
-            store_.on_generation_received(peer, generation);
+          [this](const vm_id& peer, const configuration_status& status) {
+            store_.on_status_received(peer, status);
           }),
       store_(context, peers_,
              make_store_observer(
@@ -176,6 +176,7 @@
   runner_.on_tick();
   if (++ticks_ % ticks_per_slow_tick != 0) return;
   if (ticks_ % (ticks_per_slow_tick * slow_ticks_per_report) == 0) store_.log_calls();
+  store_.on_tick();
   failover_.on_tick();
   router_.on_tick();
   const auto now = context_.loop.now();
--- a/packages/entry/membership_adapter.cc
+++ b/packages/entry/membership_adapter.cc
@@ -22,13 +22,13 @@
 
 }  // namespace
 
-membership_adapter::membership_adapter(entry_context& context, std::function<void()> on_change,
-                                       std::function<void()> on_superseded,
-                                       std::function<void(const vm_id&, generation_id)> on_generation)
+membership_adapter::membership_adapter(
+    entry_context& context, std::function<void()> on_change, std::function<void()> on_superseded,
+    std::function<void(const vm_id&, const configuration_status&)> on_status)
     : context_(context),
       on_change_(std::move(on_change)),
       on_superseded_(std::move(on_superseded)),
-      on_generation_(std::move(on_generation)),
+      on_status_(std::move(on_status)),
       controller_({context.settings.vm, context.settings.peer_listen.str(), context.settings.data_centre,
                    context.incarnation, member_state::alive},
                   options()),
@@ -82,7 +82,7 @@
   const auto message = message_of(*envelope);
   perform(controller_.on_message(message, from.str(), now, context_.random()));
   const auto& status = envelope->__isset.ping ? envelope->ping.configuration : envelope->ack.configuration;
-  on_generation_(message.sender, from_wire(status).generation);
+  on_status_(message.sender, from_wire(status));
 }
 
 void membership_adapter::perform(const membership_actions& actions) {
@@ -93,19 +93,14 @@
   reset_timer();
 }
 
-configuration_status membership_adapter::status() const {
-  configuration_status value;
-  if (context_.shared.environment) value.generation = context_.shared.environment->generation;
-  return value;
-}
-
 void membership_adapter::run(const send_membership& action) {
   const auto to = parse_address(action.address);
   if (!to) {
     log_warning("peer_address_invalid", {{"address", action.address}, {"reason", to.error().message}});
     return;
   }
-  socket_.send(*to, encode_envelope(envelope_of(action.message, status())));
+  socket_.send(*to, encode_envelope(envelope_of(
+                        action.message, context_.shared.confirmations.status_at(context_.loop.now()))));
 }
 
 void membership_adapter::run(const member_changed& action) {
--- a/packages/entry/membership_adapter.h
+++ b/packages/entry/membership_adapter.h
@@ -16,11 +16,10 @@
  public:
   /// @param on_change called when a member joined, left or changed its state.
   /// @param on_superseded called when a newer process runs under this VM's name.
-  /// @param on_generation called for each heartbeat with its sender and the generation of the
-  ///   configuration that is in force there.
+  /// @param on_status called for each heartbeat with its sender and the status of the configuration there.
   membership_adapter(entry_context& context, std::function<void()> on_change,
                      std::function<void()> on_superseded,
-                     std::function<void(const vm_id&, generation_id)> on_generation);
+                     std::function<void(const vm_id&, const configuration_status&)> on_status);
 
   /// Opens the socket and starts the heartbeats.
   /// @return the address that the socket is bound to.
@@ -40,13 +39,12 @@
   void run(const send_leave& action);
   void run(const stop_instance& action);
   void on_datagram(const net_address& from, std::string_view bytes);
-  [[nodiscard]] configuration_status status() const;
   void reset_timer();
 
   entry_context& context_;
   std::function<void()> on_change_;
   std::function<void()> on_superseded_;
-  std::function<void(const vm_id&, generation_id)> on_generation_;
+  std::function<void(const vm_id&, const configuration_status&)> on_status_;
   membership_controller controller_;
   datagram_socket socket_;
   bool is_changed_ = false;
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -18,7 +18,7 @@
 
 // A configuration must be in force on all VMs within 3 s, even if the connection of a watch goes
 // silent. Two VMs watch it with the short wait; the others learn from heartbeats that there is a
-// newer one.
+// newer one, or that neither VM has confirmed it recently.
 constexpr duration short_watch_wait = milliseconds{1'500};
 constexpr duration long_watch_wait = seconds{15};
 const service_id configuration_placement_key{"configuration"};
@@ -76,7 +76,7 @@
           [](const std::string& name) {
             log_warning("configuration_removed", {{"object", name}});
           },
-          [] {}};
+          [] {}, [this] { context_.shared.confirmations.on_confirmed(context_.loop.now()); }};
 }
 
 void store_adapter::on_configuration(const platform::stored_object& object) {
@@ -98,6 +98,7 @@
   }
   configuration_content_ = content;
   context_.shared.environment = std::make_shared<const sql::environment>(std::move(*decoded));
+  context_.shared.confirmations.on_applied(context_.shared.environment->generation, context_.loop.now());
   log_info("configuration_in_force",
            {{"source", source}, {"generation", context_.shared.environment->generation.value()}});
   callbacks_.on_environment();
@@ -223,10 +224,11 @@
           [] {}};
 }
 
-void store_adapter::on_generation_received(const vm_id& peer, generation_id generation) {
+void store_adapter::on_status_received(const vm_id& peer, const configuration_status& status) {
+  context_.shared.confirmations.on_reported(status, context_.loop.now());
   const auto& environment = context_.shared.environment;
-  if (environment && generation <= environment->generation) return;
-  if (generation == generation_id{}) return;
+  if (environment && status.generation <= environment->generation) return;
+  if (status.generation == generation_id{}) return;
   if (configuration_.is_reachable()) {
     configuration_.refresh();
   } else {
@@ -234,6 +236,13 @@
   }
 }
 
+void store_adapter::on_tick() {
+  // While the store does not answer, the mirror calls it again by itself.
+  if (!configuration_.is_reachable() || !context_.shared.confirmations.try_check(context_.loop.now())) return;
+  log_info("configuration_checked", {{"reason", "no VM has confirmed it recently"}});
+  configuration_.refresh();
+}
+
 void store_adapter::on_members() {
   const auto placement = place_service(configuration_placement_key, context_.shared.members);
   const auto& self = context_.settings.vm;
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -37,10 +37,12 @@
   /// Logs the number of calls to the store since the start, by kind of object.
   void log_calls() const;
 
-  /// Handles the generation of the configuration that is in force at another VM. If it is newer
-  /// than that of this VM, reads the store, or requests the configuration from that VM while the
-  /// store does not answer.
-  void on_generation_received(const vm_id& peer, generation_id generation);
+  /// Handles the status of the configuration at another VM. If the generation there is newer than that
+  /// of this VM, reads the store, or requests the configuration from that VM while the store does not
+  /// answer.
+  void on_status_received(const vm_id& peer, const configuration_status& status);
+  /// Reads the configuration from the store if no VM has confirmed it recently. Call periodically.
+  void on_tick();
   /// Handles a change of the members: decides whether this VM uses the short or the long wait when
   /// it watches the configuration.
   void on_members();
--- a/packages/entry/store_mirror.cc
+++ b/packages/entry/store_mirror.cc
@@ -86,9 +86,14 @@
   if (is_first)
     log_info("store_synced", {{"kind", platform::name_of(kind_)}, {"at", watch_position_.value()}});
   callbacks_.on_synced();
+  confirm();
   watch();
 }
 
+void store_mirror::confirm() {
+  if (callbacks_.on_confirmed) callbacks_.on_confirmed();
+}
+
 void store_mirror::watch() {
   store_.watch(kind_, watch_position_, options_.watch_wait, options_.watch_wait + watch_reply_allowance,
                [this, alive = is_alive_, round = round_](const result<platform::object_events>& update) {
@@ -111,6 +116,7 @@
     }
   }
   if (update->position > watch_position_) watch_position_ = update->position;
+  confirm();
   if (update->events.empty()) {
     watch();
     return;
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -34,6 +34,8 @@
     std::function<void(const std::string& name)> on_removed;
     /// Called after each complete listing and each batch of changes.
     std::function<void()> on_synced;
+    /// Called after each response that leaves no newer object unknown; may be empty.
+    std::function<void()> on_confirmed = {};
   };
 
   store_mirror(entry_context& context, platform::object_store& store, platform::object_kind kind,
@@ -68,6 +70,7 @@
   void remove_object(const std::string& name);
   void handle_failure(const error& reason);
   void handle_success();
+  void confirm();
   void remove_pending();
 
   entry_context& context_;
