Log objects of the store that are dropped as older

Cause: a VM that read an object and dropped it because it knew a higher version logged nothing, so that this could not be told from a listing that never came or a configuration that was refused.

Change: object_ignored names the kind, the object and both versions. Equal versions are usual and not logged.

--- a/packages/entry/store_mirror.cc
+++ b/packages/entry/store_mirror.cc
@@ -129,7 +129,15 @@
   pending_removals_.erase(object.name);
   auto& version = known_versions_[object.name];
   // Listings and watches may deliver an object twice; an older version must not replace a newer one.
-  if (version != object_version{} && object.version <= version) return;
+  if (version != object_version{} && object.version <= version) {
+    // Deliveries of the known version are usual.
+    if (object.version == version) return;
+    log_info("object_ignored", {{"kind", platform::name_of(kind_)},
+                                {"object", object.name},
+                                {"version", object.version.value()},
+                                {"known_version", version.value()}});
+    return;
+  }
   version = object.version;
   callbacks_.on_object(object);
 }
