Order the objects of the store by its epoch first

Callers saw: after the store had come back from a copy some seconds old, no later change of the configuration was in force.

Cause: each VM kept the highest version of each object and dropped what was not above it. After a restore the store gives the versions above the copy out again, so new objects were taken for old ones. A watch could also go on from a position of the lost history that meanwhile meant another change.

Change: an answer of the store states its epoch. Versions and positions compare by epoch first (base/store_version); a watch from an earlier epoch counts as a lost position, an answer of an earlier epoch as an error, and a write that expects a version of one as a conflict. The first answer of a new epoch has all kinds listed again, with the time that targets and VMs need to write their entries again. The platform stand-in can come back from a copy.

"Changes are in force after the store came back older" failed on the code before ("no session with key-new" after 60 s) and passes. "A VM whose record the store lost announces itself again" passed before.

--- /dev/null
+++ b/packages/entry/restored_store_path_test.cc
@@ -0,0 +1,56 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "entry/session_deployment_fake.h"
+
+// End-to-end tests of a store that comes back from a copy and has lost its newest changes.
+
+namespace bulrushlift::entry {
+namespace {
+
+void await_key(session_deployment& deployment, std::size_t vm, const std::string& key) {
+  deployment.await("session with " + key,
+                   [&] { return deployment.connect(vm)->ask_joined("START orders " + key) == "READY I -"; });
+}
+
+void await_record(session_deployment& deployment, const std::string& vm) {
+  deployment.await("record of " + vm,
+                   [&] { return !deployment.platform->content_of("bulrushlift-vms", vm).is_null(); });
+}
+
+// Guards against changes that are dropped because their revisions are not above those of the lost history.
+TEST_CASE("Changes are in force after the store came back older") {
+  session_deployment deployment{"restored_changes", 2};
+  await_key(deployment, 0, "key-shop");
+  await_key(deployment, 1, "key-shop");
+  deployment.platform->save_copy();
+  for (std::uint64_t version = 2; version <= 5; ++version) deployment.publish(version, {"key-lost"});
+  await_key(deployment, 0, "key-lost");
+  await_key(deployment, 1, "key-lost");
+
+  deployment.platform->restore_copy();
+  deployment.publish(6, {"key-new"});
+
+  await_key(deployment, 0, "key-new");
+  await_key(deployment, 1, "key-new");
+  CHECK(deployment.connect(0)->ask_joined("START orders key-lost").starts_with("ERROR DENIED"));
+}
+
+// Guards against a VM that stays out of the list of VMs, from which the others choose a customer's home.
+TEST_CASE("A VM whose record the store lost announces itself again") {
+  session_deployment deployment{"restored_record", 2};
+  await_record(deployment, "entry-0");
+  deployment.process(1).kill();
+  deployment.platform->remove("bulrushlift-vms", "entry-1");
+  deployment.platform->save_copy();
+  deployment.start_vm(1);
+  await_record(deployment, "entry-1");
+
+  deployment.platform->restore_copy();
+
+  await_record(deployment, "entry-1");
+  static_cast<void>(deployment.session(1, "orders"));
+}
+
+}  // namespace
+}  // namespace bulrushlift::entry
--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -80,7 +80,7 @@
 void session_deployment::announce(const std::string& target, const std::string& state) {
   put("servers", target,
       target_document({"ledger", database->address_of(target), target == "i-b" ? "north" : "south", state,
-                       target == database->primary()}));
+                       target == database->primary(), ++last_report_}));
 }
 
 void session_deployment::publish(std::uint64_t version, const std::vector<std::string>& shop_keys) {
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -89,6 +89,7 @@
 
   std::string folder_;
   bool has_separate_store_ = false;
+  std::uint64_t last_report_ = 0;  ///< Sequence number of the newest report of any target.
   std::vector<vm_ports> ports_;
   std::map<std::size_t, child_process> processes_;
 };
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -54,6 +54,9 @@
 }
 
 void store_adapter::start() {
+  store_.on_restored([this] {
+    for (auto* each : {&configuration_, &targets_, &vms_, &promotions_}) each->list_again();
+  });
   configuration_.start();
   targets_.start();
   vms_.start();
@@ -166,7 +169,7 @@
                                 {"address", info->address},
                                 {"role", info->is_primary ? "primary" : "replica"},
                                 {"state", info->is_leaving ? "leaving" : "ready"},
-                                {"version", object.version.value()}});
+                                {"version", object.version.version.value()}});
   callbacks_.on_targets(info->service);
 }
 
@@ -201,7 +204,7 @@
   const bool is_announced = known != context_.shared.vms.end() && known->second == self;
   if (is_announced || std::exchange(is_announcing_, true)) return;
   store_.write(object_kind::vms, self.vm.str(), platform::encode_vm(self), vms_.version_of(self.vm.str()),
-               write_timeout, [this](const result<object_version>& written) {
+               write_timeout, [this](const result<store_version>& written) {
                  is_announcing_ = false;
                  if (written) return;
                  log_warning("vm_not_announced", {{"reason", written.error().message}});
@@ -257,8 +260,8 @@
   const auto name = record.service.str();
   store_.write(object_kind::promotions, name, platform::encode_promotion(record),
                promotions_.version_of(name), write_timeout,
-               [name, done = std::move(done)](const result<object_version>& written) {
-                 if (written) return done(written->value());
+               [name, done = std::move(done)](const result<store_version>& written) {
+                 if (written) return done(written->version.value());
                  log_info("promotion_not_claimed", {{"service", name}, {"reason", written.error().message}});
                  done(std::nullopt);
                });
--- a/packages/entry/store_mirror.cc
+++ b/packages/entry/store_mirror.cc
@@ -38,15 +38,19 @@
       retry_timer_(context.loop),
       grace_timer_(context.loop) {}
 
-object_version store_mirror::version_of(const std::string& name) const {
+store_version store_mirror::version_of(const std::string& name) const {
   const auto it = known_versions_.find(name);
-  return it == known_versions_.end() ? object_version{} : it->second;
+  return it == known_versions_.end() || pending_removals_.contains(name) ? store_version{} : it->second;
 }
 
 void store_mirror::refresh() {
   const auto now = context_.loop.now();
   if (now - last_refresh_ < min_refresh_interval) return;
   last_refresh_ = now;
+  list_again();
+}
+
+void store_mirror::list_again() {
   ++round_;
   is_refreshing_ = true;
   retry_timer_.cancel();
@@ -66,6 +70,13 @@
     handle_failure(page.error());
     return;
   }
+  const auto epoch = page->position.epoch;
+  if (listed_names_.empty()) listing_epoch_ = epoch;
+  if (epoch != listing_epoch_) {
+    // The pages before are of a lost history.
+    list("");
+    return;
+  }
   for (const auto& each : page->objects) {
     listed_names_.insert(each.name);
     apply_object(each);
@@ -74,9 +85,16 @@
     list(page->objects.back().name);
     return;
   }
+  const bool is_restored = is_synced_ && epoch != watch_position_.epoch;
   watch_position_ = page->position;
   needs_listing_ = false;
   handle_success();
+  if (is_restored) {
+    log_warning("store_restored", {{"kind", platform::name_of(kind_)},
+                                   {"epoch", epoch.value()},
+                                   {"at", watch_position_.version.value()}});
+    start_removal_grace();
+  }
   std::set<std::string> removed;
   for (const auto& [name, version] : known_versions_) {
     if (!listed_names_.contains(name)) removed.insert(name);
@@ -84,7 +102,7 @@
   for (const auto& name : removed) remove_object(name);
   const bool is_first = !std::exchange(is_synced_, true);
   if (is_first)
-    log_info("store_synced", {{"kind", platform::name_of(kind_)}, {"at", watch_position_.value()}});
+    log_info("store_synced", {{"kind", platform::name_of(kind_)}, {"at", watch_position_.version.value()}});
   callbacks_.on_synced();
   confirm();
   watch();
@@ -129,13 +147,13 @@
   pending_removals_.erase(object.name);
   auto& version = known_versions_[object.name];
   // Listings and watches may deliver an object twice; an older version must not replace a newer one.
-  if (version != object_version{} && object.version <= version) {
+  if (version.exists() && object.version <= version) {
     // Deliveries of the known version are usual.
     if (object.version == version) return;
     log_info("object_ignored", {{"kind", platform::name_of(kind_)},
                                 {"object", object.name},
-                                {"version", object.version.value()},
-                                {"known_version", version.value()}});
+                                {"version", object.version.version.value()},
+                                {"known_version", version.version.value()}});
     return;
   }
   version = object.version;
@@ -157,6 +175,10 @@
   is_refreshing_ = false;
   if (std::exchange(failures_, 0) == 0) return;
   log_info("store_regained", {{"kind", platform::name_of(kind_)}});
+  start_removal_grace();
+}
+
+void store_mirror::start_removal_grace() {
   if (options_.removal_grace <= duration::zero()) return;
   removal_grace_end_ = context_.loop.now() + options_.removal_grace;
   grace_timer_.set(options_.removal_grace, [this] { remove_pending(); });
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -54,12 +54,16 @@
   /// than 300 ms have no effect.
   void refresh();
 
+  /// Lists all objects again at once. Call when the store came back from an older copy: a running watch
+  /// may wait for a position of the lost history.
+  void list_again();
+
   /// @return whether the first listing is complete.
   [[nodiscard]] bool is_synced() const noexcept { return is_synced_; }
   /// @return whether the last call to the store succeeded and no refresh is in progress.
   [[nodiscard]] bool is_reachable() const noexcept { return failures_ == 0 && !is_refreshing_; }
-  /// @return the last version of an object that was received; 0 if there is no such object.
-  [[nodiscard]] object_version version_of(const std::string& name) const;
+  /// @return the last version of an object that was received; 0 if the store holds no such object.
+  [[nodiscard]] store_version version_of(const std::string& name) const;
 
  private:
   void list(const std::string& after);
@@ -70,6 +74,7 @@
   void remove_object(const std::string& name);
   void handle_failure(const error& reason);
   void handle_success();
+  void start_removal_grace();
   void confirm();
   void remove_pending();
 
@@ -78,11 +83,12 @@
   platform::object_kind kind_;
   mirror_options options_;
   observer callbacks_;
-  std::map<std::string, object_version> known_versions_;
+  std::map<std::string, store_version> known_versions_;
   std::set<std::string> listed_names_;
   /// Objects that are missing since an outage; removed when the removal grace is over.
   std::set<std::string> pending_removals_;
-  object_version watch_position_;
+  store_version watch_position_;
+  store_epoch listing_epoch_;  ///< Epoch of the first page of the running listing.
   std::uint32_t failures_ = 0;
   std::uint64_t round_ = 0;  ///< Incremented by each refresh; replies to calls of earlier rounds are dropped.
   time_point last_refresh_{};
--- a/packages/platform/documents_test.cc
+++ b/packages/platform/documents_test.cc
@@ -16,7 +16,9 @@
     "tenants":[{"name":"c1","accessKeys":["k1","k2"],"priority":1,"ratePerS":121,"burst":60.5}]})");
 }
 
-stored_object target(const char* text) { return {"i-1", object_version{3}, json::parse(text)}; }
+stored_object target(const char* text) {
+  return {"i-1", store_version{{}, object_version{3}}, json::parse(text)};
+}
 
 TEST_CASE("A configuration becomes an environment") {
   const auto decoded = decode_environment(environment());
@@ -66,9 +68,10 @@
 
 TEST_CASE("Records of the proxy are decoded as they were encoded") {
   const vm_record vm{vm_id{"entry-1"}, "10.0.0.1:7", data_centre_id{"north"}, incarnation_id{5}};
-  CHECK(*decode_vm({"entry-1", object_version{1}, encode_vm(vm)}) == vm);
+  CHECK(*decode_vm({"entry-1", store_version{{}, object_version{1}}, encode_vm(vm)}) == vm);
   const promotion_record promotion{service_id{"s1"}, target_id{"i-1"}, vm_id{"entry-1"}};
-  CHECK(*decode_promotion({"s1", object_version{1}, encode_promotion(promotion)}) == promotion);
+  CHECK(*decode_promotion({"s1", store_version{{}, object_version{1}}, encode_promotion(promotion)}) ==
+        promotion);
 }
 
 }  // namespace
--- a/packages/platform/object_store.cc
+++ b/packages/platform/object_store.cc
@@ -2,7 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <charconv>
 #include <optional>
+#include <system_error>
 #include <utility>
 
 namespace bulrushlift::platform {
@@ -25,7 +27,7 @@
 
 std::string path_of(object_kind kind) { return fmt::format("/-/objects/{}", name_of(kind)); }
 
-std::optional<stored_object> decode_object(const json& value) {
+std::optional<stored_object> decode_object(const json& value, store_epoch epoch) {
   if (!value.is_object()) return std::nullopt;
   const auto meta = value.find("meta");
   if (meta == value.end() || !meta->is_object()) return std::nullopt;
@@ -35,16 +37,26 @@
   stored_object object;
   object.name = name->get<std::string>();
   if (revision != meta->end() && revision->is_number_unsigned()) {
-    object.version = object_version{revision->get<std::uint64_t>()};
+    object.version = {epoch, object_version{revision->get<std::uint64_t>()}};
   }
   object.content = value.value("spec", json{});
   return object;
 }
 
-object_version decode_position(const json& body) {
+store_version decode_position(const json& body, store_epoch epoch) {
   const auto position = body.find("at");
-  if (position == body.end() || !position->is_number_unsigned()) return object_version{};
-  return object_version{position->get<std::uint64_t>()};
+  if (position == body.end() || !position->is_number_unsigned()) return {epoch, {}};
+  return {epoch, object_version{position->get<std::uint64_t>()}};
+}
+
+/// @return the epoch that the response states; nothing if it states none.
+std::optional<store_epoch> decode_epoch(const http_response& response) {
+  const auto text = response.headers.find("Store-Era");
+  if (!text) return std::nullopt;
+  std::uint64_t value = 0;
+  const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
+  if (parsed.ec != std::errc{} || parsed.ptr != text->data() + text->size()) return std::nullopt;
+  return store_epoch{value};
 }
 
 /// @return a flag of a response; false if it is missing or no boolean.
@@ -114,59 +126,75 @@
   http_request request;
   request.target = path_of(kind);
   if (!after.empty()) request.target += fmt::format("?after={}", after);
-  call(kind, std::move(request), timeout, [done = std::move(done)](const result<http_response>& response) {
-    const auto body = body_of(response);
-    if (!body) return done(tl::unexpected<error>(body.error()));
-    object_page page;
-    for (const auto& each : decode_array(*body, "items")) {
-      if (auto object = decode_object(each)) page.objects.push_back(std::move(*object));
-    }
-    page.has_more = decode_flag(*body, "more");
-    page.position = decode_position(*body);
-    done(std::move(page));
-  });
+  call(kind, std::move(request), timeout,
+       [this, done = std::move(done)](const result<http_response>& response) {
+         const auto body = body_of(response);
+         if (!body) return done(tl::unexpected<error>(body.error()));
+         const auto epoch = epoch_of(*response);
+         object_page page;
+         for (const auto& each : decode_array(*body, "items")) {
+           if (auto object = decode_object(each, epoch)) page.objects.push_back(std::move(*object));
+         }
+         page.has_more = decode_flag(*body, "more");
+         page.position = decode_position(*body, epoch);
+         done(std::move(page));
+       });
 }
 
-void object_store::watch(object_kind kind, object_version position, duration wait, duration timeout,
+void object_store::watch(object_kind kind, const store_version& position, duration wait, duration timeout,
                          callback<object_events> done) {
   http_request request;
   const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
-  request.target = fmt::format("{}?watch={}&waitMs={}", path_of(kind), position.value(), wait_ms);
-  call(kind, std::move(request), timeout, [done = std::move(done)](const result<http_response>& response) {
-    const auto body = body_of(response);
-    if (!body) return done(tl::unexpected<error>(body.error()));
-    object_events changes;
-    for (const auto& each : decode_array(*body, "events")) {
-      if (!each.is_object()) continue;
-      auto object = decode_object(each.value("object", json{}));
-      if (object) changes.events.push_back({std::move(*object), decode_flag(each, "removed")});
-    }
-    changes.position = decode_position(*body);
-    done(std::move(changes));
-  });
+  request.target = fmt::format("{}?watch={}&waitMs={}", path_of(kind), position.version.value(), wait_ms);
+  call(kind, std::move(request), timeout,
+       [this, watched = position.epoch, done = std::move(done)](const result<http_response>& response) {
+         const auto body = body_of(response);
+         if (!body) return done(tl::unexpected<error>(body.error()));
+         const auto epoch = epoch_of(*response);
+         if (epoch != watched) {
+           // The position belongs to a lost history, and changes below it may have been missed.
+           return done(tl::unexpected<error>(error{error_kind::position_unavailable,
+                                                   "the store came back from an older copy", std::nullopt,
+                                                   outcome::not_run}));
+         }
+         object_events changes;
+         for (const auto& each : decode_array(*body, "events")) {
+           if (!each.is_object()) continue;
+           auto object = decode_object(each.value("object", json{}), epoch);
+           if (object) changes.events.push_back({std::move(*object), decode_flag(each, "removed")});
+         }
+         changes.position = decode_position(*body, epoch);
+         done(std::move(changes));
+       });
 }
 
 void object_store::write(object_kind kind, const std::string& name, const json& content,
-                         object_version expected, duration timeout, callback<object_version> done) {
-  const bool is_creation = expected == object_version{};
+                         const store_version& expected, duration timeout, callback<store_version> done) {
+  const bool is_creation = !expected.exists();
   json meta{{"name", name}, {"finalizers", json::array()}};
-  if (!is_creation) meta["revision"] = expected.value();
+  if (!is_creation) meta["revision"] = expected.version.value();
   http_request request;
   request.method = is_creation ? "POST" : "PUT";
   request.target = path_of(kind);
   if (!is_creation) request.target += "/" + name;
   request.body = json{{"meta", meta}, {"spec", content}}.dump();
   request.headers.add("Content-Type", "application/json");
-  call(kind, std::move(request), timeout, [done = std::move(done)](const result<http_response>& response) {
-    const auto body = body_of(response);
-    if (!body) return done(tl::unexpected<error>(body.error()));
-    const auto object = decode_object(*body);
-    if (!object) {
-      return done(tl::unexpected<error>(
-          error{error_kind::protocol_error, "the store returned no object", std::nullopt, outcome::unknown}));
-    }
-    done(object->version);
-  });
+  call(kind, std::move(request), timeout,
+       [this, is_creation, expected, done = std::move(done)](const result<http_response>& response) {
+         const auto body = body_of(response);
+         if (!body) return done(tl::unexpected<error>(body.error()));
+         const auto object = decode_object(*body, epoch_of(*response));
+         if (!object) {
+           return done(tl::unexpected<error>(error{error_kind::protocol_error, "the store returned no object",
+                                                   std::nullopt, outcome::unknown}));
+         }
+         if (!is_creation && object->version.epoch != expected.epoch) {
+           return done(
+               tl::unexpected<error>(error{error_kind::conflict, "the store came back from an older copy",
+                                           std::nullopt, outcome::unknown}));
+         }
+         done(object->version);
+       });
 }
 
 void object_store::remove(object_kind kind, const std::string& name, duration timeout, callback<void> done) {
@@ -205,10 +233,33 @@
                         callback<http_response> done) {
   (*connection)->send(request, timeout, [this, connection, done = std::move(done)](result<http_response> r) {
     release(connection);
-    done(std::move(r));
+    done(check_epoch(std::move(r)));
   });
 }
 
+result<http_response> object_store::check_epoch(result<http_response> response) {
+  if (!response) return response;
+  const auto epoch = decode_epoch(*response);
+  if (!epoch || epoch == epoch_) return response;
+  if (epoch_ && *epoch < *epoch_) {
+    return tl::unexpected<error>(error{
+        error_kind::platform_unavailable,
+        fmt::format("a response of the store's epoch {} came in epoch {}", epoch->value(), epoch_->value()),
+        std::nullopt, outcome::unknown});
+  }
+  const bool is_restored = std::exchange(epoch_, epoch).has_value();
+  if (is_restored && on_restored_) {
+    loop_.post([this, alive = is_alive_] {
+      if (*alive) on_restored_();
+    });
+  }
+  return response;
+}
+
+store_epoch object_store::epoch_of(const http_response& response) const {
+  return decode_epoch(response).value_or(epoch_.value_or(store_epoch{}));
+}
+
 void object_store::release(connection_list::iterator connection) {
   if ((*connection)->is_open() && idle_.size() < max_idle_connections) {
     idle_.splice(idle_.begin(), busy_, connection);
--- a/packages/platform/object_store.h
+++ b/packages/platform/object_store.h
@@ -7,11 +7,12 @@
 #include <list>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "base/error.h"
-#include "base/ids.h"
+#include "base/store_version.h"
 #include "net/event_loop.h"
 #include "net/http_client.h"
 
@@ -40,7 +41,7 @@
 /// An object of the store with the version that conditional writes compare.
 struct stored_object {
   std::string name;
-  object_version version;
+  store_version version;
   nlohmann::json content;
 };
 
@@ -49,7 +50,7 @@
   std::vector<stored_object> objects;
   bool has_more = false;
   /// Position in the store's history that the listing reflects.
-  object_version position;
+  store_version position;
 };
 
 /// The write or the removal of an object.
@@ -61,15 +62,16 @@
 /// The response to a watch.
 struct object_events {
   std::vector<object_event> events;
-  object_version position;  ///< Where the next watch continues.
+  store_version position;  ///< Where the next watch continues.
 };
 
 /// Calls the platform's object store over HTTP.
 ///
 /// Errors: `conflict` if the condition of a write did not hold; `not_found`;
 /// `position_unavailable` if the store no longer keeps the history from the position of a
-/// watch; `platform_unavailable` if the call was not executed; otherwise an error with the
-/// outcome `unknown`.
+/// watch, or has come back from an older copy since; `platform_unavailable` if the call was not
+/// executed; otherwise an error with the outcome `unknown`. A response of an earlier epoch is an
+/// error, because what it says may be lost.
 class object_store {
  public:
   template <class T>
@@ -78,7 +80,7 @@
   object_store(event_loop& loop, net_address address) : loop_(loop), address_(std::move(address)) {}
   object_store(const object_store&) = delete;
   object_store& operator=(const object_store&) = delete;
-  ~object_store() = default;
+  ~object_store() { *is_alive_ = false; }
 
   /// Lists one page of the objects of a kind.
   /// @param after name of the last object of the previous page; empty for the first page.
@@ -86,18 +88,23 @@
 
   /// Waits for changes after a position in the store's history.
   /// @param wait how long the store waits for a change before it returns no events.
-  void watch(object_kind kind, object_version position, duration wait, duration timeout,
+  void watch(object_kind kind, const store_version& position, duration wait, duration timeout,
              callback<object_events> done);
 
   /// Writes an object if its version is `expected`.
   /// @param expected version that the write replaces; 0 creates the object.
-  /// @param done gets the new version.
+  /// @param done gets the new version, or `conflict` if `expected` is of an earlier epoch: the write may
+  ///   then have replaced another object with the same number.
   void write(object_kind kind, const std::string& name, const nlohmann::json& content,
-             object_version expected, duration timeout, callback<object_version> done);
+             const store_version& expected, duration timeout, callback<store_version> done);
 
   /// Removes an object, whatever its version.
   void remove(object_kind kind, const std::string& name, duration timeout, callback<void> done);
 
+  /// Sets the callback for a store that came back from an older copy. It runs in a turn of the event loop
+  /// of its own.
+  void on_restored(std::function<void()> handler) { on_restored_ = std::move(handler); }
+
   /// @return number of calls about objects of a kind since the client was created.
   [[nodiscard]] std::uint64_t call_count(object_kind kind) const noexcept {
     return call_counts_.at(static_cast<std::size_t>(kind));
@@ -110,12 +117,19 @@
   void send(connection_list::iterator connection, const http_request& request, duration timeout,
             callback<http_response> done);
   void release(connection_list::iterator connection);
+  /// Checks the epoch of a response and notes a higher one.
+  /// @return the response, or an error if it is of an earlier epoch.
+  [[nodiscard]] result<http_response> check_epoch(result<http_response> response);
+  /// @return the epoch of a response; that of the responses before if it states none.
+  [[nodiscard]] store_epoch epoch_of(const http_response& response) const;
 
   event_loop& loop_;
   net_address address_;
   connection_list busy_;
   connection_list idle_;
   std::array<std::uint64_t, object_kind_count> call_counts_{};
+  std::optional<store_epoch> epoch_;  ///< Highest epoch of a response.
+  std::function<void()> on_restored_;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/platform/object_store_test.cc
+++ b/packages/platform/object_store_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "net/http_server.h"
 
@@ -43,7 +44,7 @@
   fixed_store server{loop, body};
   object_store store{loop, server.address};
   result<object_events> events;
-  store.watch(object_kind::targets, object_version{3}, seconds{1}, seconds{20},
+  store.watch(object_kind::targets, store_version{{}, object_version{3}}, seconds{1}, seconds{20},
               [&](result<object_events> answer) {
                 events = std::move(answer);
                 loop.stop();
@@ -62,7 +63,7 @@
   REQUIRE(page->objects.size() == 1);
   CHECK(page->objects.front().name == "i-1");
   CHECK_FALSE(page->has_more);
-  CHECK(page->position == object_version{});
+  CHECK(page->position == store_version{});
   CHECK(list_from(R"({"items": {"a": 1}})")->objects.empty());
   CHECK(list_from(R"({"items": "none"})")->objects.empty());
 }
@@ -74,7 +75,7 @@
   REQUIRE(events);
   REQUIRE(events->events.size() == 1);
   CHECK_FALSE(events->events.front().is_removed);
-  CHECK(events->position == object_version{5});
+  CHECK(events->position == store_version{{}, object_version{5}});
 }
 
 TEST_CASE("An answer that is no JSON object is an error") {
@@ -82,5 +83,106 @@
   CHECK_FALSE(list_from("{\"items\": ["));
 }
 
+/// A store that answers each call with the next body, under the epoch beside it.
+struct epoch_store {
+  struct answer {
+    const char* epoch;
+    const char* body;
+  };
+
+  epoch_store(event_loop& loop, std::vector<answer> script)
+      : answers(std::move(script)),
+        server(loop, {}, [this](const http_request&, const http_responder& respond) {
+          const auto& next = answers.at(calls++);
+          auto response = json_response(200, next.body);
+          response.headers.add("Store-Era", next.epoch);
+          respond(std::move(response));
+        }) {
+    const auto bound = server.listen({"127.0.0.1", 0});
+    REQUIRE(bound);
+    address = *bound;
+  }
+
+  std::vector<answer> answers;
+  std::size_t calls = 0;
+  http_server server;
+  net_address address;
+};
+
+/// Runs one call until its callback was called.
+template <class T, class Call>
+result<T> complete(event_loop& loop, Call call) {
+  result<T> outcome;
+  call([&](result<T> answer) {
+    outcome = std::move(answer);
+    loop.stop();
+  });
+  loop.run_for(seconds{30});
+  return outcome;
+}
+
+result<object_page> list_targets(event_loop& loop, object_store& store) {
+  return complete<object_page>(
+      loop, [&](auto done) { store.list(object_kind::targets, "", seconds{20}, std::move(done)); });
+}
+
+constexpr const char* listing_at_9 = R"({"items": [{"meta": {"name": "i-1", "revision": 9}}], "at": 9})";
+constexpr const char* listing_at_4 = R"({"items": [{"meta": {"name": "i-1", "revision": 4}}], "at": 4})";
+
+// Guards against objects that are taken for older because the store came back from a copy.
+TEST_CASE("Versions after a restore of the store are above all before it") {
+  event_loop loop;
+  epoch_store server{loop, {{"1", listing_at_9}, {"2", listing_at_4}}};
+  object_store store{loop, server.address};
+  int restores = 0;
+  store.on_restored([&] { ++restores; });
+
+  const auto before = list_targets(loop, store);
+  CHECK(restores == 0);
+  const auto after = list_targets(loop, store);
+  loop.run_for(std::chrono::milliseconds{1});
+
+  REQUIRE(before);
+  REQUIRE(after);
+  CHECK(after->objects.front().version > before->objects.front().version);
+  CHECK(after->position > before->position);
+  CHECK(restores == 1);
+}
+
+// Guards against changes that are missed because their positions were given out a second time.
+TEST_CASE("A watch from a position before a restore says that the position is gone") {
+  event_loop loop;
+  epoch_store server{loop, {{"2", R"({"events": [], "at": 9})"}}};
+  object_store store{loop, server.address};
+  const auto events = complete<object_events>(loop, [&](auto done) {
+    store.watch(object_kind::targets, {store_epoch{1}, object_version{9}}, seconds{1}, seconds{20},
+                std::move(done));
+  });
+  REQUIRE_FALSE(events);
+  CHECK(events.error().kind == error_kind::position_unavailable);
+}
+
+// Guards against a late answer of the lost history that replaces what was read after the restore.
+TEST_CASE("A response of an earlier epoch is an error") {
+  event_loop loop;
+  epoch_store server{loop, {{"2", listing_at_4}, {"1", listing_at_9}}};
+  object_store store{loop, server.address};
+  REQUIRE(list_targets(loop, store));
+  CHECK_FALSE(list_targets(loop, store));
+}
+
+// Guards against a claim that succeeds because another object has the version that it expects.
+TEST_CASE("A write that expects a version of an earlier epoch fails") {
+  event_loop loop;
+  epoch_store server{loop, {{"2", R"({"meta": {"name": "s1", "revision": 10}})"}}};
+  object_store store{loop, server.address};
+  const auto written = complete<store_version>(loop, [&](auto done) {
+    store.write(object_kind::promotions, "s1", nlohmann::json::object(), {store_epoch{1}, object_version{9}},
+                seconds{20}, std::move(done));
+  });
+  REQUIRE_FALSE(written);
+  CHECK(written.error().kind == error_kind::conflict);
+}
+
 }  // namespace
 }  // namespace bulrushlift::platform
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -34,7 +34,7 @@
           {"slots", slots},
           {"state", target.state},
           {"databaseRole", target.is_primary ? "primary" : "replica"},
-          {"sequence", 1},
+          {"sequence", target.sequence},
           {"born", 1}};
 }
 
--- a/packages/standins/session_documents.h
+++ b/packages/standins/session_documents.h
@@ -18,6 +18,7 @@
   std::string data_centre;
   std::string state = "ready";  ///< Or "draining".
   bool is_primary = false;
+  std::uint64_t sequence = 1;  ///< Rises with each report of the target.
 };
 [[nodiscard]] nlohmann::json target_document(const target_description& target);
 
--- a/packages/standins/session_platform.cc
+++ b/packages/standins/session_platform.cc
@@ -42,28 +42,46 @@
 session_platform::~session_platform() = default;
 
 void session_platform::put(const std::string& kind, const std::string& name, const json& content) {
-  auto& object = objects_[kind][name];
-  object = {{"meta", {{"name", name}, {"revision", ++revision_}}}, {"spec", content}};
-  events_.push_back({revision_, kind, object, false});
+  auto& object = store_.objects[kind][name];
+  object = {{"meta", {{"name", name}, {"revision", ++store_.revision}}}, {"spec", content}};
+  store_.events.push_back({store_.revision, kind, object, false});
   answer_watches();
 }
 
 void session_platform::remove(const std::string& kind, const std::string& name) {
-  const auto node = objects_[kind].extract(name);
+  const auto node = store_.objects[kind].extract(name);
   if (node.empty()) return;
-  events_.push_back({++revision_, kind, node.mapped(), true});
+  store_.events.push_back({++store_.revision, kind, node.mapped(), true});
   answer_watches();
 }
 
 void session_platform::compact() {
-  history_start_ = ++revision_;
-  events_.clear();
-  for (const auto& each : std::exchange(watches_, {})) each.respond(json_response(http_gone, "{}"));
+  store_.history_start = ++store_.revision;
+  store_.events.clear();
+  for (const auto& each : std::exchange(watches_, {})) each.respond(store_response(http_gone, "{}"));
+}
+
+void session_platform::save_copy() { copy_ = store_; }
+
+void session_platform::restore_copy() {
+  store_ = copy_;
+  ++era_;
+  for (const auto& each : std::exchange(watches_, {})) {
+    auto response = store_response(each.after > store_.revision ? http_gone : http_unavailable, "{}");
+    response.close = true;
+    each.respond(std::move(response));
+  }
+}
+
+http_response session_platform::store_response(int status, std::string body) const {
+  auto response = json_response(status, std::move(body));
+  response.headers.add("Store-Era", std::to_string(era_));
+  return response;
 }
 
 json session_platform::content_of(const std::string& kind, const std::string& name) const {
-  const auto objects = objects_.find(kind);
-  if (objects == objects_.end()) return {};
+  const auto objects = store_.objects.find(kind);
+  if (objects == store_.objects.end()) return {};
   const auto object = objects->second.find(name);
   return object == objects->second.end() ? json{} : object->second["spec"];
 }
@@ -81,6 +99,10 @@
     on_promotion(request, respond);
     return;
   }
+  on_store_request(request, respond);
+}
+
+void session_platform::on_store_request(const http_request& request, const http_responder& respond) {
   const std::string_view target{request.target};
   const auto query_start = target.find('?');
   const auto path = target.substr(0, query_start).substr(object_path.size());
@@ -104,8 +126,8 @@
     return;
   }
   json items = json::array();
-  for (const auto& [key, object] : objects_[kind]) items.push_back(object);
-  respond(json_response(200, json{{"items", items}, {"more", false}, {"at", revision_}}.dump()));
+  for (const auto& [key, object] : store_.objects[kind]) items.push_back(object);
+  respond(store_response(200, json{{"items", items}, {"more", false}, {"at", store_.revision}}.dump()));
 }
 
 http_response session_platform::on_write(const http_request& request, const std::string& kind,
@@ -113,29 +135,29 @@
   const auto body = json::parse(request.body, nullptr, false);
   const auto meta = body.value("meta", json::object());
   const auto key = name.empty() ? meta.value("name", std::string{}) : name;
-  auto& objects = objects_[kind];
+  auto& objects = store_.objects[kind];
   const auto it = objects.find(key);
   const bool is_creation = request.method == "POST";
   const bool has_conflict =
       is_creation ? it != objects.end()
                   : it == objects.end() ||
                         (meta.contains("revision") && meta["revision"] != it->second["meta"]["revision"]);
-  if (has_conflict) return json_response(http_conflict, it == objects.end() ? "{}" : it->second.dump());
+  if (has_conflict) return store_response(http_conflict, it == objects.end() ? "{}" : it->second.dump());
   put(kind, key, body.value("spec", json{}));
-  return json_response(200, objects_[kind][key].dump());
+  return store_response(200, store_.objects[kind][key].dump());
 }
 
 std::optional<http_response> session_platform::events_after(const std::string& kind,
                                                             std::uint64_t after) const {
-  if (after < history_start_) return json_response(http_gone, "{}");
+  if (after < store_.history_start || after > store_.revision) return store_response(http_gone, "{}");
   json found = json::array();
-  for (const auto& each : events_) {
+  for (const auto& each : store_.events) {
     if (each.kind == kind && each.revision > after) {
       found.push_back({{"object", each.object}, {"removed", each.is_removed}});
     }
   }
   if (found.empty()) return std::nullopt;
-  return json_response(200, json{{"events", found}, {"at", revision_}}.dump());
+  return store_response(200, json{{"events", found}, {"at", store_.revision}}.dump());
 }
 
 void session_platform::on_watch(const std::string& kind, const std::map<std::string, std::string>& query,
@@ -148,8 +170,8 @@
   watches_.push_back({kind, after, respond});
   const auto wait = std::chrono::milliseconds{std::stoll(query.at("waitMs"))};
   // If the watch was answered before, this second answer has no effect.
-  loop_.schedule(wait, [respond, revision = after] {
-    respond(json_response(200, json{{"events", json::array()}, {"at", revision}}.dump()));
+  loop_.schedule(wait, [this, respond, revision = after] {
+    respond(store_response(200, json{{"events", json::array()}, {"at", revision}}.dump()));
   });
 }
 
--- a/packages/standins/session_platform.h
+++ b/packages/standins/session_platform.h
@@ -54,6 +54,11 @@
   void remove(const std::string& kind, const std::string& name);
   /// Discards the event history. Open watches, and later ones from an older revision, get 410.
   void compact();
+  /// Keeps a copy of all objects with their revisions.
+  void save_copy();
+  /// Continues from the saved copy: changes since then are lost, their revisions are given out again, and
+  /// the era in the answers rises by one. Open watches from a lost revision get 410, the others are cut.
+  void restore_copy();
 
   /// @return the content of an object, or JSON null if the object doesn't exist.
   [[nodiscard]] nlohmann::json content_of(const std::string& kind, const std::string& name) const;
@@ -66,6 +71,13 @@
     nlohmann::json object;
     bool is_removed = false;
   };
+  /// All that a copy of the store keeps.
+  struct stored_state {
+    std::uint64_t revision = 1;
+    std::uint64_t history_start = 0;
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    std::vector<event> events;
+  };
   struct waiting_watch {
     std::string kind;
     std::uint64_t after = 0;
@@ -73,6 +85,8 @@
   };
 
   void on_request(const http_request& request, const http_responder& respond);
+  void on_store_request(const http_request& request, const http_responder& respond);
+  [[nodiscard]] http_response store_response(int status, std::string body) const;
   void on_promotion(const http_request& request, const http_responder& respond);
   [[nodiscard]] http_response on_write(const http_request& request, const std::string& kind,
                                        const std::string& name);
@@ -86,10 +100,9 @@
   http_server server_;
   std::string address_;
   platform_faults faults_;
-  std::uint64_t revision_ = 1;
-  std::uint64_t history_start_ = 0;
-  std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
-  std::vector<event> events_;
+  stored_state store_;
+  stored_state copy_;
+  std::uint64_t era_ = 1;
   std::list<waiting_watch> watches_;
   std::vector<http_responder> unanswered_;
   std::map<std::string, std::uint64_t> newest_tokens_;
