Put the store's epoch above the version in fencing tokens

Callers would see: after a restore of the store a lost primary is not replaced, or two VMs promote with the same token.

Cause: the fencing token of a promotion is the version of its claim, and the store gives versions above its copy out again. The platform refuses a token below one that it has seen, and accepts an equal one from another holder.

Evidence: "Fencing tokens rise although the store came back older" failed on the commit before, at the check that the second token is above the first, and passes.

--- a/packages/entry/restored_store_path_test.cc
+++ b/packages/entry/restored_store_path_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -36,6 +37,32 @@
   CHECK(deployment.connect(0)->ask_joined("START orders key-lost").starts_with("ERROR DENIED"));
 }
 
+// Guards against a fencing token that the platform has seen, and against promotions that nobody can claim.
+TEST_CASE("Fencing tokens rise although the store came back older") {
+  session_deployment deployment{"restored_promotion", 3};
+  const auto caller = deployment.session(0, "orders");
+  for (const auto* vm : {"entry-0", "entry-1", "entry-2"}) await_record(deployment, vm);
+  deployment.platform->save_copy();
+  deployment.announce("i-a", "draining");
+  deployment.await("promotion", [&] { return !deployment.platform->promotions().empty(); });
+  const auto second = deployment.database->primary();
+  deployment.await("write at the second primary", [&] {
+    return caller->ask_joined("QUERY w1 WRITE hide 7").starts_with("COMPLETE signed");
+  });
+
+  deployment.platform->restore_copy();
+  deployment.announce(second, "draining");
+  deployment.await("second promotion", [&] { return deployment.database->primary() != second; });
+
+  const auto& orders = deployment.platform->promotions();
+  CHECK(std::all_of(orders.begin(), orders.end(), [](const auto& each) { return each.is_accepted; }));
+  CHECK(orders.back().token > orders.front().token);
+  deployment.await("write at the third primary", [&] {
+    return caller->ask_joined("QUERY w2 WRITE hide 8").starts_with("COMPLETE signed");
+  });
+  CHECK(deployment.database->value_of("hide") == "8");
+}
+
 // Guards against a VM that stays out of the list of VMs, from which the others choose a customer's home.
 TEST_CASE("A VM whose record the store lost announces itself again") {
   session_deployment deployment{"restored_record", 2};
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "fleet/ownership.h"
+#include "sql/fencing_token.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -261,7 +262,7 @@
   store_.write(object_kind::promotions, name, platform::encode_promotion(record),
                promotions_.version_of(name), write_timeout,
                [name, done = std::move(done)](const result<store_version>& written) {
-                 if (written) return done(written->version.value());
+                 if (written) return done(sql::fencing_token(*written));
                  log_info("promotion_not_claimed", {{"service", name}, {"reason", written.error().message}});
                  done(std::nullopt);
                });
