Fetch a configuration that the store no longer has from a peer

Callers would see: a withdrawn key is accepted again, or a new route is refused, by a VM that was started after the store had come back older, until the operator's version is written again. Seen in a test only.

Cause: a VM that hears of a newer generation lists the store while the store answers, and asks the peer only while it does not. When the listing is older than what the peer has, it listed again at each heartbeat.

Change: after a listing for a generation that did not bring it, the VM asks the peer.

Evidence: "A VM that starts after the store came back older has the configuration of its peers" failed on the commit before ("no session with key-new" after 60 s) and passes; so do the other tests of the restored store.

--- a/packages/entry/restored_store_path_test.cc
+++ b/packages/entry/restored_store_path_test.cc
@@ -37,6 +37,23 @@
   CHECK(deployment.connect(0)->ask_joined("START orders key-lost").starts_with("ERROR DENIED"));
 }
 
+// Guards against a revoked key that is in use again because the store has an older configuration.
+TEST_CASE("A VM that starts after the store came back older has the configuration of its peers") {
+  session_deployment deployment{"restored_restart", 2};
+  await_key(deployment, 0, "key-shop");
+  await_key(deployment, 1, "key-shop");
+  deployment.platform->save_copy();
+  deployment.publish(2, {"key-new"});
+  await_key(deployment, 0, "key-new");
+  deployment.platform->restore_copy();
+  deployment.process(1).kill();
+
+  deployment.start_vm(1);
+
+  await_key(deployment, 1, "key-new");
+  CHECK(deployment.connect(1)->ask_joined("START orders key-shop").starts_with("ERROR DENIED"));
+}
+
 // Guards against a fencing token that the platform has seen, and against promotions that nobody can claim.
 TEST_CASE("Fencing tokens rise although the store came back older") {
   session_deployment deployment{"restored_promotion", 3};
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -233,7 +233,10 @@
   const auto& environment = context_.shared.environment;
   if (environment && status.generation <= environment->generation) return;
   if (status.generation == generation_id{}) return;
-  if (configuration_.is_reachable()) {
+  // A listing that did not bring a generation that a peer has is of a store that came back older.
+  const bool is_listed = status.generation <= listed_for_;
+  if (configuration_.is_reachable() && !is_listed) {
+    listed_for_ = status.generation;
     configuration_.refresh();
   } else {
     request_configuration(peer);
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -38,8 +38,8 @@
   void log_calls() const;
 
   /// Handles the status of the configuration at another VM. If the generation there is newer than that
-  /// of this VM, reads the store, or requests the configuration from that VM while the store does not
-  /// answer.
+  /// of this VM, reads the store, or requests the configuration from that VM if the store does not
+  /// answer or has an older one.
   void on_status_received(const vm_id& peer, const configuration_status& status);
   /// Reads the configuration from the store if no VM has confirmed it recently. Call periodically.
   void on_tick();
@@ -71,6 +71,7 @@
   observer callbacks_;
   nlohmann::json configuration_content_;  ///< The configuration in force, unparsed.
   time_point last_peer_request_{};
+  generation_id listed_for_;  ///< Newest generation of a peer for which the store was listed.
   platform::object_store store_;
   store_mirror configuration_;
   store_mirror targets_;
