Announce a VM again as soon as the store has lost its record

Callers would see: operations within their rate refused, or a rate exceeded, while VMs disagree on the list of VMs from which they choose the home of a customer.

Cause: objects that are missing after an outage are kept for 5 s, as their writers may write them again. The VM itself read its own record from that list, took itself for announced and wrote it again only when all VMs had dropped it.

Change: the VM looks at what the store holds; vm_announced is logged.

The test of the record passes before and after.

--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -201,13 +201,18 @@
 void store_adapter::announce_self() {
   const platform::vm_record self{context_.settings.vm, context_.settings.peer_listen.str(),
                                  context_.settings.data_centre, context_.incarnation};
+  const auto stored = vms_.version_of(self.vm.str());
   const auto known = context_.shared.vms.find(self.vm);
-  const bool is_announced = known != context_.shared.vms.end() && known->second == self;
+  // A record that the store lost is still known here for a while.
+  const bool is_announced = stored.exists() && known != context_.shared.vms.end() && known->second == self;
   if (is_announced || std::exchange(is_announcing_, true)) return;
-  store_.write(object_kind::vms, self.vm.str(), platform::encode_vm(self), vms_.version_of(self.vm.str()),
-               write_timeout, [this](const result<store_version>& written) {
+  store_.write(object_kind::vms, self.vm.str(), platform::encode_vm(self), stored, write_timeout,
+               [this](const result<store_version>& written) {
                  is_announcing_ = false;
-                 if (written) return;
+                 if (written) {
+                   log_info("vm_announced", {{"version", written->version.value()}});
+                   return;
+                 }
                  log_warning("vm_not_announced", {{"reason", written.error().message}});
                  announce_timer_.set(announce_retry, [this] { announce_self(); });
                });
