List the objects of the store again after each failure

Callers would see: a change that is in force late after a restore of the store.

Cause: after a failure a VM watched again from its old position. If the store has come back from an older copy and its versions have passed that number again, the watch is valid, waits out its time and brings nothing of what lies between.

Change: a failure is followed by a listing, which also ends sooner on a store that goes away again.

--- a/packages/entry/store_mirror.cc
+++ b/packages/entry/store_mirror.cc
@@ -87,7 +87,6 @@
   }
   const bool is_restored = is_synced_ && epoch != watch_position_.epoch;
   watch_position_ = page->position;
-  needs_listing_ = false;
   handle_success();
   if (is_restored) {
     log_warning("store_restored", {{"kind", platform::name_of(kind_)},
@@ -121,7 +120,6 @@
 
 void store_mirror::on_events(const result<platform::object_events>& update) {
   if (!update) {
-    if (update.error().kind == error_kind::position_unavailable) needs_listing_ = true;
     handle_failure(update.error());
     return;
   }
@@ -195,13 +193,8 @@
   if (failures_++ == 0) {
     log_warning("store_lost", {{"kind", platform::name_of(kind_)}, {"reason", reason.message}});
   }
-  retry_timer_.set(retry_pause(failures_, context_.random()), [this] {
-    if (needs_listing_) {
-      list("");
-    } else {
-      watch();
-    }
-  });
+  // The store may come back from an older copy, where the position of the watch is one of the lost history.
+  retry_timer_.set(retry_pause(failures_, context_.random()), [this] { list(""); });
 }
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -9,8 +9,8 @@
 #include "platform/object_store.h"
 
 /// @file
-/// Mirrors the objects of one kind from the store: lists them, then watches for changes, and
-/// retries after failures.
+/// Mirrors the objects of one kind from the store: lists them, then watches for changes, and lists
+/// them again after failures.
 
 namespace bulrushlift::entry {
 
@@ -94,7 +94,6 @@
   time_point last_refresh_{};
   bool is_synced_ = false;
   bool is_refreshing_ = false;
-  bool needs_listing_ = true;
   time_point removal_grace_end_{};
   scoped_timer retry_timer_;
   scoped_timer grace_timer_;
