Keep the logs of the proxies in the tests of sessions

Cause: the proxies write their log lines to standard output, but the tests kept standard error only, so that a failed test left an empty log.

Change: standard output goes to entry-N.log, standard error to entry-N.err in the folder of the test.

No check changes.

--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -116,9 +116,9 @@
                                 uses_separate_store ? separate_platform->address() : platform->address(),
                                 platform->address()};
   std::ofstream{path} << proxy_settings_document(proxy).dump();
-  auto started =
-      child_process::start({BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--entry", "--settings", path},
-                           fmt::format("{}/entry-{}.log", folder_, vm));
+  auto started = child_process::start(
+      {BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--entry", "--settings", path},
+      fmt::format("{}/entry-{}.err", folder_, vm), fmt::format("{}/entry-{}.log", folder_, vm));
   if (!started) FAIL(started.error().message);
   processes_.insert_or_assign(vm, std::move(*started));
 }
