List the store on a new connection when the open ones may be silent

Callers would see: a change that is in force up to two seconds later than need be, after open connections have gone silent.

Cause: a listing because of a newer generation at a peer, or of a missing confirmation, was said to use another connection than the running watch, but took an idle one, which may be silent for the same reason and then costs its whole timeout.

Change: such a listing closes the idle connections first.

The unit test leaves a connection silent after its first answer.

--- a/packages/entry/store_mirror.cc
+++ b/packages/entry/store_mirror.cc
@@ -47,6 +47,7 @@
   const auto now = context_.loop.now();
   if (now - last_refresh_ < min_refresh_interval) return;
   last_refresh_ = now;
+  store_.close_idle();
   list_again();
 }
 
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -49,9 +49,9 @@
   /// Sets the longest time of the watch calls that follow.
   void set_watch_wait(duration wait) noexcept { options_.watch_wait = wait; }
 
-  /// Lists all objects again at once, on a connection other than that of the running watch, which
-  /// may be silent. Call when another VM has newer data. Calls that follow the last one by less
-  /// than 300 ms have no effect.
+  /// Lists all objects again at once, on a new connection, because open ones may be silent. Call when
+  /// another VM has newer data, or when no VM has confirmed this one's. Calls that follow the last one
+  /// by less than 300 ms have no effect.
   void refresh();
 
   /// Lists all objects again at once. Call when the store came back from an older copy: a running watch
--- a/packages/platform/object_store.cc
+++ b/packages/platform/object_store.cc
@@ -260,6 +260,8 @@
   return decode_epoch(response).value_or(epoch_.value_or(store_epoch{}));
 }
 
+void object_store::close_idle() { idle_.clear(); }
+
 void object_store::release(connection_list::iterator connection) {
   if ((*connection)->is_open() && idle_.size() < max_idle_connections) {
     idle_.splice(idle_.begin(), busy_, connection);
--- a/packages/platform/object_store.h
+++ b/packages/platform/object_store.h
@@ -101,6 +101,10 @@
   /// Removes an object, whatever its version.
   void remove(object_kind kind, const std::string& name, duration timeout, callback<void> done);
 
+  /// Closes the connections that carry no call, so that the next calls open new ones. Call when open
+  /// connections may have become silent.
+  void close_idle();
+
   /// Sets the callback for a store that came back from an older copy. It runs in a turn of the event loop
   /// of its own.
   void on_restored(std::function<void()> handler) { on_restored_ = std::move(handler); }
--- a/packages/platform/object_store_test.cc
+++ b/packages/platform/object_store_test.cc
@@ -1,6 +1,7 @@
 #include "platform/object_store.h"
 
 #include <catch2/catch.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -184,5 +185,39 @@
   CHECK(written.error().kind == error_kind::conflict);
 }
 
+/// A store that answers the first request of each connection and ignores the others.
+struct silencing_store {
+  explicit silencing_store(event_loop& loop)
+      : server(loop, {}, [this](const http_request& request, const http_responder& respond) {
+          if (answered.insert(request.connection).second) {
+            respond(json_response(200, listing_at_4));
+          } else {
+            unanswered.push_back(respond);
+          }
+        }) {
+    const auto bound = server.listen({"127.0.0.1", 0});
+    REQUIRE(bound);
+    address = *bound;
+  }
+
+  std::set<http_connection_id> answered;
+  std::vector<http_responder> unanswered;
+  http_server server;
+  net_address address;
+};
+
+// Guards against a listing that waits for its timeout on an idle connection that has become silent.
+TEST_CASE("A call after the idle connections were closed uses a new connection") {
+  event_loop loop;
+  silencing_store server{loop};
+  object_store store{loop, server.address};
+  REQUIRE(list_targets(loop, store));
+
+  store.close_idle();
+
+  CHECK(list_targets(loop, store));
+  CHECK(server.answered.size() == 2);
+}
+
 }  // namespace
 }  // namespace bulrushlift::platform
