Bring the store back from a copy once in each soak run

The operator and the targets write their objects again 200 ms later. A new check reports two VMs that order promotions with the same fencing token. Targets number their reports.

--- a/packages/soak/soak_deployment.cc
+++ b/packages/soak/soak_deployment.cc
@@ -95,10 +95,11 @@
 }
 
 void soak_deployment::publish_target(const std::string& target, const std::string& state) {
-  platform_->put(
-      "servers", target,
-      target_document({service, target_proxies_.at(target)->address().str(),
-                       target == "i-b" ? "north" : "south", state, target == database_->primary()}));
+  target_states_[target] = state;
+  platform_->put("servers", target,
+                 target_document({service, target_proxies_.at(target)->address().str(),
+                                  target == "i-b" ? "north" : "south", state, target == database_->primary(),
+                                  ++last_report_}));
 }
 
 void soak_deployment::on_promotion(const std::string& target) {
@@ -166,6 +167,7 @@
   }
   check_statements();
   check_transactions();
+  check_promotions();
   outcome.violations = oracle_.violations();
   outcome.faults = plan.size();
   outcome.promotions = platform_->promotions().size();
@@ -237,4 +239,14 @@
   }
 }
 
+void soak_deployment::check_promotions() {
+  std::map<std::uint64_t, std::string> holders;  // By fencing token.
+  for (const auto& each : platform_->promotions()) {
+    const auto [it, is_new] = holders.try_emplace(each.token, each.holder);
+    if (is_new || it->second == each.holder) continue;
+    oracle_.report("ONE", fmt::format("{} and {} ordered promotions with the same token {}", it->second,
+                                      each.holder, each.token));
+  }
+}
+
 }  // namespace bulrushlift::soak
--- a/packages/soak/soak_deployment.h
+++ b/packages/soak/soak_deployment.h
@@ -74,6 +74,8 @@
   void apply(const fault& each);
   void apply_to_vm(const fault& each, vm& affected);
   void apply_to_store(const fault& each);
+  /// Brings the store back from its copy; the operator and the targets then write their objects again.
+  void restore_store();
   void apply_to_target(const fault& each, const std::string& target);
   void schedule_after(std::chrono::milliseconds delay, std::function<void()> callback);
   void restart_exited_vms();
@@ -82,6 +84,7 @@
   void check_recovery();
   void check_statements();
   void check_transactions();
+  void check_promotions();
   [[nodiscard]] net_address pick_vm();
 
   soak_options options_;
@@ -96,6 +99,8 @@
   std::vector<vm> vms_;
   std::vector<std::unique_ptr<soak_caller>> callers_;
   std::uint64_t version_ = 0;
+  std::map<std::string, std::string> target_states_;  ///< State that each target reported last.
+  std::uint64_t last_report_ = 0;                     ///< Sequence number of the newest report of any target.
   scoped_timer restart_timer_;
 };
 
--- a/packages/soak/soak_faults.cc
+++ b/packages/soak/soak_faults.cc
@@ -14,12 +14,15 @@
 constexpr duration added_delay = milliseconds{60};
 constexpr int affected_requests = 3;
 
+// Time after a restore of the store until the operator and the targets have written their objects again.
+constexpr milliseconds rewrite_delay{200};
+
 }  // namespace
 
 void soak_deployment::apply(const fault& each) {
   if (each.kind <= fault_kind::delay_store) {
     apply_to_vm(each, vms_.at(each.index));
-  } else if (each.kind <= fault_kind::compact_store || each.kind == fault_kind::change_configuration) {
+  } else if (each.kind <= fault_kind::compact_store || each.kind >= fault_kind::change_configuration) {
     apply_to_store(each);
   } else {
     const bool is_primary = each.kind >= fault_kind::mute_primary;
@@ -86,12 +89,24 @@
     case fault_kind::compact_store:
       platform_->compact();
       return;
+    case fault_kind::restore_store:
+      platform_->save_copy();
+      schedule_after(each.length, [this] { restore_store(); });
+      return;
     default:
       publish_configuration();
       return;
   }
 }
 
+void soak_deployment::restore_store() {
+  platform_->restore_copy();
+  schedule_after(rewrite_delay, [this] {
+    publish_configuration();
+    for (const auto& [target, state] : std::map{target_states_}) publish_target(target, state);
+  });
+}
+
 void soak_deployment::apply_to_target(const fault& each, const std::string& target) {
   auto& proxy = *target_proxies_.at(target);
   switch (each.kind) {
--- a/packages/soak/soak_plan.h
+++ b/packages/soak/soak_plan.h
@@ -34,8 +34,9 @@
   drain_primary,         ///< The primary is published as draining.
   stall_replication,     ///< Replicas stop applying the primary's log.
   change_configuration,  ///< Publishes a new version of the configuration with the same content.
+  restore_store,         ///< The store comes back as it was at the start of the fault, in a new epoch.
 };
-inline constexpr std::size_t fault_kinds = 21;
+inline constexpr std::size_t fault_kinds = 22;
 
 /// @return the name of the fault kind, spelled like its enumerator.
 [[nodiscard]] std::string_view name_of(fault_kind kind) noexcept;
@@ -58,7 +59,8 @@
   std::chrono::milliseconds spacing{400};  ///< Average time between two starts of faults.
 };
 
-/// Generates the fault schedule.
+/// Generates the fault schedule. Each run has one restore of the store; a seed draws its other faults as it
+/// would without it.
 /// @return the faults ordered by start time; equal options give equal schedules.
 [[nodiscard]] std::vector<fault> make_plan(const plan_options& options);
 
