--- a/packages/sql/target_directory.cc
+++ b/packages/sql/target_directory.cc
@@ -37,7 +37,8 @@
 
 void target_directory::announce(const target_announcement& info, time_point now) {
   auto& entry = targets_[info.target];
-  const bool is_other_process = entry.info.number.start != info.number.start || entry.info.address != info.address;
+  const bool is_other_process =
+      entry.info.number.start != info.number.start || entry.info.address != info.address;
   const bool was_primary = entry.info.is_primary;
   if (is_other_process) entry = target_entry{};
   entry.info = info;
