Count the work again after a draining VM has closed its listener

Callers saw: about one drain in seven beside load, a request on a new connection got no answer, although the VM was shutting down as planned.

Cause: the drain closed the listener and decided to exit in one step, by counts taken before. A connection that the listener accepted while it closed is in none of them, so the process ended and reset it.

"the process counts its work again after the listener has closed" failed on the code before.

A connection that is opened between the last accept and the close of the listener is still reset.

--- a/packages/fleet/drain_controller.cc
+++ b/packages/fleet/drain_controller.cc
@@ -23,6 +23,7 @@
 
 drain_actions drain_controller::on_counts(const drain_counts& counts, time_point now) {
   counts_ = counts;
+  is_counted_since_close_ = is_listener_closed_;
   return advance(now);
 }
 
@@ -46,7 +47,9 @@
     is_work_ended_ = true;
     actions.emplace_back(end_remaining{});
   }
-  if (counts_.is_empty() || now >= flush_end()) {
+  // The listener accepts waiting connections while it closes; earlier counts lack their requests.
+  const bool is_work_done = is_counted_since_close_ && counts_.is_empty();
+  if (is_work_done || now >= flush_end()) {
     state_ = drain_state::drained;
     actions.emplace_back(exit_process{counts_});
   }
--- a/packages/fleet/drain_controller.h
+++ b/packages/fleet/drain_controller.h
@@ -46,7 +46,7 @@
 struct become_unready {};
 /// Call `membership_controller::leave`, which moves the ownership of services to other VMs.
 struct announce_leave {};
-/// Close the listener for callers.
+/// Accept the connections of callers that wait, and close the listener. Count the work again afterwards.
 struct stop_accepting {};
 /// Close the connections of callers that have no request in flight.
 struct close_idle_callers {};
@@ -91,6 +91,7 @@
   drain_counts counts_;
   time_point started_{};
   bool is_listener_closed_ = false;
+  bool is_counted_since_close_ = false;  ///< `counts_` was taken after the listener closed.
   bool is_work_ended_ = false;
 };
 
