Let no connection begin while a draining listener closes

Callers saw: a planned stop under load could reset a connection that had just been opened, after its request was sent.

Cause: the kernel completes handshakes until the listener is closed and resets those that wait at that moment. Between the last accept and the close there is always such a moment.

Change: the listener drops the segments that begin a connection (a socket filter), goes on accepting for 300 ms, so that handshakes that have begun complete, and closes then. The drain of both fronts waits for it. Where the kernel refuses the filter the listener closes at once, as before, and logs it.

A caller that connects in these 300 ms is refused after about one second, when its kernel repeats the segment, instead of at once or by a reset.

--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -189,6 +189,8 @@
   // Reading may add requests, so the expected ones are counted first.
   const auto expected = callers_.expected_requests();
   counts.requests = expected + callers_.pending_requests() + router_.pending_requests();
+  // A connection that is being opened may bring a request.
+  if (callers_.is_stopping()) ++counts.requests;
   counts.transactions = router_.open_transactions();
   counts.unsent_bytes = callers_.queued_bytes();
   return counts;
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -207,7 +207,7 @@
     context_.shared.is_refusing_sessions = true;
     caller_listener_.stop();
   }
-  const bool is_over = is_served && sessions_.empty();
+  const bool is_over = is_served && sessions_.empty() && !caller_listener_.is_stopping();
   if (!is_over && elapsed < exit_time) return;
   log_info("drained", {{"sessions", std::uint64_t{sessions_.size()}}});
   context_.loop.stop();
--- a/packages/net/http_drain_test.cc
+++ b/packages/net/http_drain_test.cc
@@ -2,9 +2,14 @@
 #include <ace/SOCK_Connector.h>
 #include <ace/SOCK_Stream.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
+#include <cerrno>
+#include <future>
+#include <list>
 #include <string>
+#include <vector>
 
 #include "net/http_server.h"
 
@@ -123,5 +128,50 @@
   CHECK(orders.server.expected_requests() == 0);
 }
 
+/// Sends one request after the other, each on a new connection, until no connection can be opened.
+/// @return number of requests that were sent on an open connection and not answered.
+int count_cut_requests(const net_address& address) {
+  const ACE_INET_Addr remote{address.port, address.ip.c_str()};
+  int cut = 0;
+  while (true) {
+    ACE_SOCK_Stream socket;
+    ACE_SOCK_Connector connector;
+    if (connector.connect(socket, remote) != 0) return cut;
+    std::array<char, 1'024> buffer{};
+    const bool is_sent = socket.send_n(request.data(), request.size()) > 0;
+    if (!is_sent || socket.recv(buffer.data(), buffer.size()) <= 0) ++cut;
+    socket.close();
+  }
+}
+
+// Guards against resetting a connection that is opened between the last accept and the close of the listener.
+// Each server has one such moment, so there are many of them.
+TEST_CASE("no request is cut off while the server stops listening") {
+  constexpr int server_count = 64;
+  event_loop loop;
+  std::list<order_server> servers;
+  std::vector<std::future<int>> callers;
+  for (int i = 0; i < server_count; ++i) {
+    const auto& address = servers.emplace_back(loop).address;
+    callers.push_back(std::async(std::launch::async, [address] { return count_cut_requests(address); }));
+  }
+  loop.run_for(milliseconds{100});
+
+  for (auto& each : servers) {
+    each.server.stop_listening();
+    each.server.close_after_answers();
+    loop.run_for(milliseconds{1});
+  }
+  const auto is_busy = [](order_server& each) {
+    return each.server.is_stopping() || each.server.expected_requests() > 0 || each.server.queued_bytes() > 0;
+  };
+  while (std::any_of(servers.begin(), servers.end(), is_busy)) loop.run_for(milliseconds{20});
+  servers.clear();
+
+  int cut = 0;
+  for (auto& each : callers) cut += each.get();
+  CHECK(cut == 0);
+}
+
 }  // namespace
 }  // namespace bulrushlift
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -322,6 +322,8 @@
   if (state_->listener) state_->listener->stop();
 }
 
+bool http_server::is_stopping() const noexcept { return state_->listener && state_->listener->is_stopping(); }
+
 void http_server::close_after_answers() {
   state_->is_closing = true;
   for (const auto& connection : internal::copy_connections(*state_)) connection->close_if_idle();
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -83,8 +83,10 @@
   /// Called once for each connection when it is closed by either side.
   void on_close(close_callback callback);
 
-  /// Accepts no more connections after those that wait; open connections continue.
+  /// Accepts no more connections after those that wait or are being opened; open connections continue.
   void stop_listening();
+  /// @return whether connections are still accepted after `stop_listening`.
+  [[nodiscard]] bool is_stopping() const noexcept;
 
   /// From now on, each answer closes its connection, and idle connections are closed. A new connection has
   /// `first_request_time` to send its request.
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -81,8 +81,11 @@
   ~tcp_listener();
 
   [[nodiscard]] result<net_address> listen(const net_address& address);
-  /// Accepts the connections that wait, whose callers may have sent requests, and then closes.
+  /// Lets no further connection begin, accepts those that wait or are being opened, whose callers may have
+  /// sent requests, and then closes. If the kernel cannot keep connections from beginning, closes at once.
   void stop();
+  /// @return whether `stop` was called and the listener has not closed yet.
+  [[nodiscard]] bool is_stopping() const noexcept;
   void close();
 
  private:
