Read the configuration again after a failed watch of the HTTP front

Callers would see: after the store came back from an older copy, changes of the configuration are not in force, among them withdrawn keys, until the store's versions have passed the lost ones.

Cause: a watch that failed was repeated from the version read before. After a restore that version is of a lost history and is given out again; the watch waits for a higher one, and the end of its wait counts as a confirmation. The same holds for a VM that stops watching and begins again.

Change: after a failed call, and when a VM begins to watch again, the object is read without a watch, which gives a version of the present history. The stand-in can come back from a copy, and the simulated fleet does so at random.

The oracle detects the rule when it is left out.

--- a/packages/fleet/configuration_controller.cc
+++ b/packages/fleet/configuration_controller.cc
@@ -131,7 +131,11 @@
 
 void configuration_controller::start_store_calls(time_point now, configuration_actions& actions) {
   // Without a document every VM reads the store, so that a restarted VM need not wait for its peers.
-  if (!is_watcher() && document_.generation() != generation_id{}) return;
+  if (!is_watcher() && document_.generation() != generation_id{}) {
+    // By the time that this VM watches again, the store may have come back from an older copy.
+    needs_plain_read_ = true;
+    return;
+  }
   if (is_store_call_running() || !pacer_.try_call(now)) return;
   if (store_calls_.size() >= max_store_calls) store_calls_.erase(store_calls_.begin());
   const bool watch = store_version_.has_value() && !needs_plain_read_;
@@ -228,7 +232,11 @@
 
 void configuration_controller::store_failed(time_point now, configuration_call call) {
   const bool known = store_calls_.erase(call) + list_calls_.erase(call) > 0;
-  if (known) pacer_.failed(now);
+  if (!known) return;
+  pacer_.failed(now);
+  // A store that was away may come back from an older copy, in which the next changes get versions that a
+  // watch from `store_version_` takes for known.
+  if (!mutation_.keeps_version_after_failure) needs_plain_read_ = true;
 }
 
 bool configuration_controller::accept(generation_id generation, std::string_view text,
--- a/packages/fleet/configuration_controller.h
+++ b/packages/fleet/configuration_controller.h
@@ -138,6 +138,7 @@
   bool accepts_lower_generation = false;
   bool serves_when_isolated = false;
   bool counts_age_from_answer = false;
+  bool keeps_version_after_failure = false;
 };
 
 /// Controls the configuration of one VM. Does no input or output and reads no clock: each event returns
--- a/packages/fleet/configuration_controller_test.cc
+++ b/packages/fleet/configuration_controller_test.cc
@@ -225,5 +225,37 @@
   CHECK(it.controller.in_force().generation() == generation_id{3});
 }
 
+// Guards against waiting for a version above one that a store has lost: after it came back from an older
+// copy, it gives the same versions out again, to changes that such a watch does not report.
+TEST_CASE("after a failed watch the object is read, so that a store from an older copy hides no change") {
+  controller_fixture it;
+  it.controller.store_failed(it.clock.now(), it.watch.call);
+  it.clock.advance(seconds{6});
+  const auto next = actions_of<read_store>(it.controller.tick(it.clock.now()));
+  REQUIRE(next.size() == 1);
+  CHECK_FALSE(next[0].watch_after.has_value());
+  const auto more = it.controller.store_answered(it.clock.now(), next[0].call, make_object(3, 12));
+  CHECK(actions_of<read_store>(more).at(0).watch_after == object_version{12});
+}
+
+// Guards against watching from a version that was read before another VM watched: the store may have come
+// back from an older copy in between.
+TEST_CASE("a VM that begins to watch again reads the object first") {
+  controller_fixture it;
+  std::vector<configuration_member> members;
+  for (int i = 1; i <= 20; ++i) {
+    members.push_back({vm_id{"vm-" + std::to_string(i)}, data_centre_id{"a"}, true});
+  }
+  it.controller.members_changed(members);
+  REQUIRE_FALSE(it.controller.is_watcher());
+  (void)it.controller.store_answered(it.clock.now(), it.watch.call, store_unchanged{});
+  it.clock.advance(seconds{10});
+  (void)it.controller.tick(it.clock.now());
+  it.controller.members_changed({});
+  const auto next = actions_of<read_store>(it.controller.tick(it.clock.now()));
+  REQUIRE(next.size() == 1);
+  CHECK_FALSE(next[0].watch_after.has_value());
+}
+
 }  // namespace
 }  // namespace bulrushlift
--- a/packages/fleet/configuration_fuzz.cc
+++ b/packages/fleet/configuration_fuzz.cc
@@ -8,7 +8,7 @@
 
 using std::chrono::milliseconds;
 
-enum class step_kind { wait, promote, restart, store, store_link, link, split, heal };
+enum class step_kind { wait, promote, restart, store, store_link, link, split, heal, copy, restore };
 
 /// One step of a run. The meaning of `a`, `b` and `value` depends on the kind.
 struct fault_step {
@@ -30,7 +30,9 @@
                                                          {2, step_kind::store_link},
                                                          {2, step_kind::link},
                                                          {1, step_kind::split},
-                                                         {2, step_kind::heal}});
+                                                         {2, step_kind::heal},
+                                                         {1, step_kind::copy},
+                                                         {1, step_kind::restore}});
   const auto vm = rc::gen::inRange<std::size_t>(0, configuration_simulation::fleet_size);
   return rc::gen::build<fault_step>(rc::gen::set(&fault_step::kind, kind), rc::gen::set(&fault_step::a, vm),
                                     rc::gen::set(&fault_step::b, vm),
@@ -81,6 +83,12 @@
     case step_kind::heal:
       fleet.heal();
       break;
+    case step_kind::copy:
+      fleet.save_copy();
+      break;
+    case step_kind::restore:
+      fleet.restore_copy();
+      break;
   }
 }
 
@@ -124,6 +132,7 @@
   CHECK(is_detected({.accepts_lower_generation = true}));
   CHECK(is_detected({.serves_when_isolated = true}));
   CHECK(is_detected({.counts_age_from_answer = true}));
+  CHECK(is_detected({.keeps_version_after_failure = true}));
 }
 
 }  // namespace
--- a/packages/fleet/configuration_simulation_fake.h
+++ b/packages/fleet/configuration_simulation_fake.h
@@ -42,14 +42,21 @@
   /// Writes the next generation to the store.
   void promote() {
     // A promotion that the store cannot accept is skipped; the operator's access is not simulated.
-    if (faults_.down || faults_.serve_old) return;
+    if (!is_writable()) return;
     promoted_at_.push_back(now_);
-    const auto text = text_of(promoted_at_.size());
-    const production_record record{generation_id{promoted_at_.size()}, "p", document_digest(text), text};
-    deliver(store_.handle(now_, {.id = ++last_id_,
-                                 .call = store_call_kind::put,
-                                 .path = production_path("env"),
-                                 .value = nlohmann::json(format_record(record)).dump()}));
+    write_newest();
+  }
+
+  void save_copy() { store_.save_copy(); }
+
+  /// Ends all calls to the store, and brings it back from the last copy a moment later; the operator then
+  /// writes the newest generation again.
+  void restore_copy() {
+    if (!is_writable()) return;
+    is_away_ = true;
+    deliver(store_.restore_copy());
+    for (const auto& [id, caller] : std::exchange(callers_, {})) fail_store_call(caller);
+    end_restore();
   }
 
   /// Replaces the VM's process by a new one without a document.
@@ -87,6 +94,7 @@
   /// Ends all faults and checks that the fleet converges. @return a violation, if any.
   std::optional<std::string> check_convergence() {
     heal();
+    if (const auto& seen = run_for(2 * restore_time)) return seen;
     promote();
     // Upper bound of the time to spread a generation, from the promotion or the end of the faults,
     // whichever is later.
@@ -102,6 +110,8 @@
  private:
   static constexpr std::chrono::milliseconds step_length{20};
   static constexpr std::chrono::milliseconds heartbeat{200};
+  /// Longer than a message is on its way, so that no VM is without a failed call.
+  static constexpr std::chrono::milliseconds restore_time{100};
   /// The membership detects a lost or a returned peer within this time.
   static constexpr std::chrono::milliseconds membership_detection_time{1'000};
   /// The oracle expects a VM to know of a connection or a fresh peer after it has lasted this long.
@@ -148,6 +158,29 @@
                        vms, generation);
   }
 
+  [[nodiscard]] bool is_writable() const { return !faults_.down && !faults_.serve_old && !is_away_; }
+
+  /// Waits until the operator's write can take effect, since readers cannot know that the copy is older.
+  void end_restore() {
+    defer(restore_time, [this] {
+      if (faults_.down || faults_.serve_old) {
+        end_restore();
+        return;
+      }
+      is_away_ = false;
+      write_newest();
+    });
+  }
+
+  void write_newest() {
+    const auto text = text_of(promoted_at_.size());
+    const production_record record{generation_id{promoted_at_.size()}, "p", document_digest(text), text};
+    deliver(store_.handle(now_, {.id = ++last_id_,
+                                 .call = store_call_kind::put,
+                                 .path = production_path("env"),
+                                 .value = nlohmann::json(format_record(record)).dump()}));
+  }
+
   void start_vm(std::size_t index) {
     settings configured;
     configured.vm = name(index);
@@ -252,7 +285,11 @@
       return;
     }
     callers_.emplace(request.id, caller);
-    defer(delay(), [this, request] { deliver(store_.handle(now_, request)); });
+    defer(delay(), [this, request] {
+      if (!callers_.contains(request.id)) return;
+      deliver(is_away_ ? std::vector<store_reply>{{.id = request.id, .status = 0}}
+                       : store_.handle(now_, request));
+    });
   }
 
   void fail_store_call(const store_caller& it) {
@@ -388,6 +425,7 @@
   std::multimap<time_point, std::function<void()>> events_;
   std::map<std::uint64_t, store_caller> callers_;
   std::uint64_t last_id_ = 0;
+  bool is_away_ = false;  ///< The store answers no call, because it comes back from a copy.
   time_point store_changed_{};
   time_point links_changed_{};
   time_point restarted_{};
--- a/packages/standins/object_store_model.cc
+++ b/packages/standins/object_store_model.cc
@@ -24,14 +24,14 @@
 }
 
 const stored_object* object_store_model::newest(std::string_view path) const {
-  const auto it = objects_.find(path);
-  return it == objects_.end() || !it->second.newest ? nullptr : &*it->second.newest;
+  const auto it = content_.objects.find(path);
+  return it == content_.objects.end() || !it->second.newest ? nullptr : &*it->second.newest;
 }
 
 const stored_object* object_store_model::visible(std::string_view path) const {
   if (!faults_.serve_old) return newest(path);
-  const auto it = objects_.find(path);
-  if (it == objects_.end()) return nullptr;
+  const auto it = content_.objects.find(path);
+  if (it == content_.objects.end()) return nullptr;
   const auto& [latest, previous] = it->second;
   if (previous) return &*previous;
   return latest ? &*latest : nullptr;
@@ -78,11 +78,11 @@
   } else if (is_removal && current == nullptr) {
     answer.status = 404;
   } else {
-    auto& entry = objects_[request.path];
+    auto& entry = content_.objects[request.path];
     entry.previous = std::exchange(entry.newest, std::nullopt);
-    last_version_ = last_version_.next();
-    answer.version = last_version_;
-    if (!is_removal) entry.newest = stored_object{request.path, last_version_, request.value};
+    content_.last_version = content_.last_version.next();
+    answer.version = content_.last_version;
+    if (!is_removal) entry.newest = stored_object{request.path, content_.last_version, request.value};
   }
   if (faults_.lose_answers > 0) {
     --faults_.lose_answers;
@@ -104,8 +104,8 @@
 
 void object_store_model::list(time_point now, const store_request& request) {
   store_reply answer{.id = request.id, .status = 200};
-  for (auto it = objects_.lower_bound(request.path);
-       it != objects_.end() && it->first.starts_with(request.path); ++it) {
+  for (auto it = content_.objects.lower_bound(request.path);
+       it != content_.objects.end() && it->first.starts_with(request.path); ++it) {
     if (const auto* object = visible(it->first)) answer.objects.push_back(*object);
   }
   reply(now, std::move(answer));
@@ -141,6 +141,16 @@
   return take_due(now);
 }
 
+std::vector<store_reply> object_store_model::restore_copy() {
+  content_ = copy_;
+  std::vector<store_reply> answers;
+  for (const auto& it : std::exchange(watches_, {})) answers.push_back({.id = it.request.id, .status = 0});
+  for (const auto& [due, it] : std::exchange(scheduled_replies_, {})) {
+    answers.push_back({.id = it.id, .status = 0});
+  }
+  return answers;
+}
+
 std::vector<store_reply> object_store_model::take_due(time_point now) {
   std::vector<store_reply> answers;
   const auto end = scheduled_replies_.upper_bound(now);
--- a/packages/standins/object_store_model.h
+++ b/packages/standins/object_store_model.h
@@ -13,7 +13,7 @@
 
 /// @file
 /// A model of the platform's object API without sockets: versions, conditional updates,
-/// watches, the list of VMs, and injected faults.
+/// watches, the list of VMs, injected faults, and a return from an older copy.
 ///
 ///     object_store_model store;
 ///     store_request request{.id = 1, .call = store_call_kind::put, .path = "a", .value = "1"};
@@ -90,6 +90,11 @@
 
   void set_faults(const store_faults& faults) { faults_ = faults; }
   void set_vms(std::vector<listed_vm> vms) { vms_ = std::move(vms); }
+  /// Keeps a copy of all objects with their versions.
+  void save_copy() { copy_ = content_; }
+  /// Continues from the saved copy: writes since then are lost and their versions are given out again. Calls
+  /// that wait for an answer get none.
+  [[nodiscard]] std::vector<store_reply> restore_copy();
   /// @return the number of calls received, by kind, including calls without an answer.
   [[nodiscard]] const std::map<store_call_kind, std::uint64_t>& counts() const noexcept { return counts_; }
   /// @return the newest version of the object regardless of faults, or null if there is none.
@@ -100,6 +105,11 @@
     std::optional<stored_object> newest;  ///< Empty after the object was deleted.
     std::optional<stored_object> previous;
   };
+  /// All that a copy of the store keeps.
+  struct stored_content {
+    std::map<std::string, history, std::less<>> objects;
+    object_version last_version;
+  };
   struct waiting_watch {
     store_request request;
     time_point deadline;
@@ -115,10 +125,10 @@
   void reply(time_point now, store_reply answer);
   [[nodiscard]] std::vector<store_reply> take_due(time_point now);
 
-  std::map<std::string, history, std::less<>> objects_;
+  stored_content content_;
+  stored_content copy_;
   std::vector<listed_vm> vms_;
   store_faults faults_;
-  object_version last_version_;
   std::map<store_call_kind, std::uint64_t> counts_;
   std::vector<waiting_watch> watches_;
   std::multimap<time_point, store_reply> scheduled_replies_;
--- a/packages/standins/object_store_model_test.cc
+++ b/packages/standins/object_store_model_test.cc
@@ -59,6 +59,24 @@
   CHECK(it.store.advance(it.clock.now()).at(0).status == 304);
 }
 
+// Guards against a stand-in that cannot show what a store that comes back from an older copy does to its
+// users.
+TEST_CASE("a store that comes back from a copy gives lost versions out again") {
+  store_fixture it;
+  (void)it.put("1");
+  it.store.save_copy();
+  CHECK(it.put("2").version == object_version{2});
+  const store_request watch{
+      .id = 7, .call = kind::watch, .path = "a", .watch_after = object_version{2}, .wait = milliseconds{100}};
+  CHECK(it.call(watch).empty());
+  const auto cut = it.store.restore_copy();
+  REQUIRE(cut.size() == 1);
+  CHECK(cut[0].id == 7);
+  CHECK(cut[0].status == 0);
+  CHECK(it.get().objects.at(0).value == "1");
+  CHECK(it.put("3").version == object_version{2});
+}
+
 // Guards against fault injection that has no effect, so that tests of faults pass without one.
 TEST_CASE("each fault shows what it names") {
   store_fixture it;
