Use a removed target again that a restored store lists for long

Callers would see: after a restore of the store a live target gets no more work, and its service has less room.

Cause: a report of a removed target is refused in a new epoch unless it is newer than the last one. A target whose description does not change makes no newer one that the store shows. A target that the store had dropped before the restore, and that its copy lists again, was thus refused for good.

Change: a removed target that is still listed after six of its report intervals is accepted, because the store drops a target that is silent for three. Its refused report is kept and handled again then. The interval comes from the settings.

Targets that are in use are not affected; a report of theirs from the copy stays refused.

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -87,6 +87,8 @@
   check(read_number(document, "rate_slack", out.rate_slack));
   check(
       read_duration<std::chrono::milliseconds>(document, "configuration_bound_ms", out.configuration_bound));
+  check(read_duration<std::chrono::milliseconds>(document, "target_report_interval_ms",
+                                                 out.target_report_interval));
   if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -34,6 +34,8 @@
   double rate_slack = 0;
   /// Within this time of its confirmation a configuration must be in force on all VMs.
   duration configuration_bound = std::chrono::seconds{3};
+  /// Interval of the reports that a target makes to the store.
+  duration target_report_interval = std::chrono::milliseconds{1'200};
   log_level level = log_level::info;
   /// Maximum number of log lines per second of each event. Examples of a frequent event, such as a
   /// refusal, are enough for an investigation.
--- a/packages/entry/restored_store_path_test.cc
+++ b/packages/entry/restored_store_path_test.cc
@@ -19,6 +19,43 @@
                    [&] { return !deployment.platform->content_of("bulrushlift-vms", vm).is_null(); });
 }
 
+/// A session that reads, and tells which target ran each read.
+class reading_session {
+ public:
+  explicit reading_session(session_deployment& deployment)
+      : deployment_(deployment), caller_(deployment.session(0, "stock")) {}
+
+  /// @return the target that ran one read.
+  std::string read_target() {
+    const auto id = "r" + std::to_string(++reads_);
+    CHECK(caller_->ask_joined("QUERY " + id + " READ hide").starts_with("ROW"));
+    const auto& runs = deployment_.database->runs();
+    const auto run = std::find_if(runs.begin(), runs.end(), [&](const auto& each) { return each.id == id; });
+    REQUIRE(run != runs.end());
+    return run->target;
+  }
+
+  void await_replica() {
+    deployment_.await("read at a replica", [&] { return read_target() != "i-a"; });
+  }
+
+  void await_primary_only() {
+    int primary_reads = 0;
+    deployment_.await("reads at the primary only", [&] {
+      primary_reads = read_target() == "i-a" ? primary_reads + 1 : 0;
+      return primary_reads == checked_reads;
+    });
+  }
+
+  /// Number of successive reads that show which targets get work.
+  static constexpr int checked_reads = 30;
+
+ private:
+  session_deployment& deployment_;
+  std::unique_ptr<test_caller> caller_;
+  int reads_ = 0;
+};
+
 // Guards against changes that are dropped because their revisions are not above those of the lost history.
 TEST_CASE("Changes are in force after the store came back older") {
   session_deployment deployment{"restored_changes", 2};
@@ -83,34 +120,37 @@
 // Guards against a leaving target that gets work again because the store has its older report.
 TEST_CASE("A leaving target gets no work after the store came back older") {
   session_deployment deployment{"restored_leaving", 1};
-  const auto caller = deployment.session(0, "stock");
+  reading_session session{deployment};
   await_record(deployment, "entry-0");
-  int reads = 0;
-  const auto read_target = [&] {
-    const auto id = "r" + std::to_string(++reads);
-    CHECK(caller->ask_joined("QUERY " + id + " READ hide").starts_with("ROW"));
-    const auto& runs = deployment.database->runs();
-    const auto run = std::find_if(runs.begin(), runs.end(), [&](const auto& each) { return each.id == id; });
-    REQUIRE(run != runs.end());
-    return run->target;
-  };
-  deployment.await("read at a replica", [&] { return read_target() != "i-a"; });
+  session.await_replica();
   deployment.platform->save_copy();
   deployment.announce("i-b", "draining");
   deployment.announce("i-c", "draining");
   // The two reports may reach the VM one after the other, so a single read at the primary shows nothing.
-  constexpr int checked_reads = 30;
-  int primary_reads = 0;
-  deployment.await("reads at the primary only", [&] {
-    primary_reads = read_target() == "i-a" ? primary_reads + 1 : 0;
-    return primary_reads == checked_reads;
-  });
+  session.await_primary_only();
 
   deployment.platform->restore_copy();
   deployment.publish(2, {"key-shop", "key-new"});
   await_key(deployment, 0, "key-new");
 
-  for (int i = 0; i < checked_reads; ++i) CHECK(read_target() == "i-a");
+  for (int i = 0; i < reading_session::checked_reads; ++i) CHECK(session.read_target() == "i-a");
+}
+
+// Guards against a live target that gets no more work: the store had dropped it, and the copy lists it with a
+// report that is not newer than the one before. A target that has nothing to change makes no other.
+TEST_CASE("A removed target that the copy of the store lists for long is in use again") {
+  session_deployment deployment{"restored_target", 1};
+  reading_session session{deployment};
+  await_record(deployment, "entry-0");
+  session.await_replica();
+  deployment.platform->save_copy();
+  deployment.platform->remove("servers", "i-b");
+  deployment.platform->remove("servers", "i-c");
+  session.await_primary_only();
+
+  deployment.platform->restore_copy();
+
+  session.await_replica();
 }
 
 // Guards against a VM that stays out of the list of VMs, from which the others choose a customer's home.
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -28,6 +28,10 @@
 // VMs are read at once: VMs that know different members choose different owners.
 constexpr duration change_pause = milliseconds{300};
 
+// The store drops a target that is silent for three intervals; as many again are allowed for a store that
+// has just come back.
+constexpr int removal_intervals = 6;
+
 constexpr mirror_options configuration_options{short_watch_wait, duration::zero(), duration::zero()};
 // Targets whose entries expired during an outage of the store write them again within about two
 // seconds.
@@ -48,7 +52,9 @@
       targets_(context, store_, object_kind::targets, target_options, target_observer()),
       vms_(context, store_, object_kind::vms, vm_options, vm_observer()),
       promotions_(context, store_, object_kind::promotions, promotion_options, promotion_observer()),
-      announce_timer_(context.loop) {
+      reports_(context.settings.target_report_interval * removal_intervals),
+      announce_timer_(context.loop),
+      refused_reports_timer_(context.loop) {
   peers_.on_document_request([this](const peer::envelope_t& /*message*/, const peer_responder& respond) {
     send_configuration(respond);
   });
@@ -161,10 +167,12 @@
     on_target_removed(target_id{object.name});
     return;
   }
-  if (!reports_.accept(info->target, object.version.epoch, info->number)) {
+  if (!reports_.accept(info->target, object.version.epoch, info->number, context_.loop.now())) {
     log_warning("target_ignored", {{"target", object.name}, {"reason", "the store has an older report"}});
+    retry_later(info->target, object);
     return;
   }
+  refused_reports_.erase(info->target);
   const auto before = service_of_target_.find(info->target);
   if (before != service_of_target_.end() && before->second != info->service) on_target_removed(info->target);
   service_of_target_.insert_or_assign(info->target, info->service);
@@ -180,6 +188,7 @@
 
 void store_adapter::on_target_removed(const target_id& target) {
   reports_.on_removed(target, context_.loop.now());
+  refused_reports_.erase(target);
   const auto node = service_of_target_.extract(target);
   if (node.empty()) return;
   context_.shared.services[node.mapped()].remove(target, context_.loop.now());
@@ -187,6 +196,15 @@
   callbacks_.on_targets(node.mapped());
 }
 
+void store_adapter::retry_later(const target_id& target, const platform::stored_object& object) {
+  // Of a target that is in use a newer report is known.
+  if (service_of_target_.contains(target)) return;
+  refused_reports_.insert_or_assign(target, object);
+  refused_reports_timer_.set(reports_.removal_time(), [this] {
+    for (const auto& [name, report] : std::exchange(refused_reports_, {})) on_target(report);
+  });
+}
+
 store_mirror::observer store_adapter::vm_observer() {
   return {[this](const platform::stored_object& object) {
             const auto record = platform::decode_vm(object);
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -65,6 +65,8 @@
   void send_configuration(const peer_responder& respond) const;
   void on_target(const platform::stored_object& object);
   void on_target_removed(const target_id& target);
+  /// Handles the refused report of a target that is not in use again after the removal time.
+  void retry_later(const target_id& target, const platform::stored_object& object);
   void announce_self();
 
   entry_context& context_;
@@ -80,9 +82,11 @@
   store_mirror promotions_;
   std::map<target_id, service_id> service_of_target_;
   sql::report_filter reports_;
+  std::map<target_id, platform::stored_object> refused_reports_;  ///< Of listed targets that are not in use.
   bool is_announcing_ = false;
   bool is_watcher_ = false;  ///< This VM watches the configuration with the short wait.
   scoped_timer announce_timer_;
+  scoped_timer refused_reports_timer_;
 };
 
 }  // namespace bulrushlift::entry
--- a/packages/sql/report_filter.h
+++ b/packages/sql/report_filter.h
@@ -13,7 +13,9 @@
 ///
 /// Within one epoch the store's versions order the reports of a target. After a restore the store holds older
 /// reports for a while: a leaving target is listed as ready, a former primary as the primary, and a target
-/// that is gone is listed again. The targets number their reports, and that number goes on.
+/// that is gone is listed again. The targets number their reports, and that number goes on. A target whose
+/// description does not change need not make a new report, but the store soon drops one that is silent; so
+/// a removed target that stays listed is alive.
 
 namespace bulrushlift::sql {
 
@@ -29,15 +31,22 @@
 /// Remembers the newest report of each target. Not thread-safe.
 class report_filter {
  public:
+  /// @param removal_time longest time that the store lists a target that is gone.
+  explicit report_filter(duration removal_time) : removal_time_(removal_time) {}
+
   /// Records a report unless it is one of a lost history that is older than what is known.
   /// @param epoch epoch of the store that holds the report.
-  /// @return whether the report is to be used.
-  [[nodiscard]] bool accept(const target_id& target, store_epoch epoch, const report_number& number);
+  /// @return whether the report is to be used. The report of a removed target that is refused is accepted if
+  ///   the store still lists it after the removal time.
+  [[nodiscard]] bool accept(const target_id& target, store_epoch epoch, const report_number& number,
+                            time_point now);
 
   /// The target is no longer listed. Its last report is remembered for some minutes, longer than a copy of
   /// the store is old.
   void on_removed(const target_id& target, time_point now);
 
+  /// @return the longest time that the store lists a target that is gone.
+  [[nodiscard]] duration removal_time() const noexcept { return removal_time_; }
   /// @return number of targets of which a report is remembered.
   [[nodiscard]] std::size_t size() const noexcept { return reports_.size(); }
 
@@ -46,10 +55,14 @@
     store_epoch epoch;
     report_number number;
     std::optional<time_point> removed_at;
+    std::optional<time_point> listed_again_at;  ///< First refused report since the removal.
   };
 
+  [[nodiscard]] bool is_lost(report& known, store_epoch epoch, const report_number& number,
+                             time_point now) const;
   void forget_removed(time_point now);
 
+  duration removal_time_;
   std::map<target_id, report> reports_;
 };
 
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -15,6 +15,7 @@
 constexpr int slots = 2;
 // Long enough for a slow machine: open transactions are ended after half of this time.
 constexpr int drain_s = 20;
+constexpr int target_report_interval_ms = 200;
 
 json route(const char* name, const char* kind, const std::string& service) {
   return {{"name", name},      {"host", name},
@@ -65,7 +66,8 @@
           {"metrics_listen", proxy.metrics},
           {"store", proxy.store},
           {"promotions", proxy.promotions},
-          {"drain_seconds", drain_s}};
+          {"drain_seconds", drain_s},
+          {"target_report_interval_ms", target_report_interval_ms}};
 }
 
 }  // namespace bulrushlift
