Decide in one place what allows a request to be sent again

Cause: the owner of a service and the VM that routes to it each had their own copy of the function that reads from a request whether it may be sent again. A change of one of them would have let the other run a request twice.

Change: daemon/request.h has it, as retry_traits_of. No logic is changed.

--- a/packages/daemon/execute.cc
+++ b/packages/daemon/execute.cc
@@ -25,15 +25,6 @@
   return transactions;
 }
 
-request_traits traits_of_request(const service_request& request) {
-  request_traits traits;
-  traits.is_read = request.op == operation::execute && request.is_read;
-  traits.is_idempotent = request.is_idempotent || request.op == operation::resolve;
-  traits.has_idempotency_key = !request.idempotency_key.empty();
-  traits.in_transaction = !request.transaction.empty();
-  return traits;
-}
-
 }  // namespace
 
 service_executor::service_executor(daemon_context& context, const service& configured)
@@ -83,7 +74,7 @@
   const auto ticket = ++last_ticket_;
   const bool is_in_transaction = !request.transaction.empty();
   const bool is_read = request.op == operation::execute && request.is_read && !is_in_transaction;
-  request_attempts attempts{traits_of_request(request), request.deadline};
+  request_attempts attempts{retry_traits_of(request), request.deadline};
   auto task = std::make_shared<request_task>(
       request_task{std::move(request), std::move(done), attempts, ticket_id{ticket},
                    is_read ? request_class::read : request_class::write});
@@ -182,7 +173,7 @@
 bool service_executor::start_single(const task_pointer& task, target_connections& connections,
                                     std::optional<term_id> term) {
   const auto& request = task->request;
-  const auto deadline = attempt_deadline(traits_of_request(request), retry_options_, request.deadline, now());
+  const auto deadline = attempt_deadline(retry_traits_of(request), retry_options_, request.deadline, now());
   auto message = make_message(request, term, {}, remaining_time(deadline, now()));
   const auto used = connections.start_request(task->ticket, pool_use::single, std::move(message), deadline);
   if (!used && used.error().kind == error_kind::overloaded) {
--- a/packages/daemon/request.cc
+++ b/packages/daemon/request.cc
@@ -30,4 +30,13 @@
   return found->first;
 }
 
+request_traits retry_traits_of(const service_request& request) {
+  request_traits traits;
+  traits.is_read = request.op == operation::execute && request.is_read;
+  traits.is_idempotent = request.is_idempotent || request.op == operation::resolve;
+  traits.has_idempotency_key = !request.idempotency_key.empty();
+  traits.in_transaction = !request.transaction.empty();
+  return traits;
+}
+
 }  // namespace bulrushlift
--- a/packages/daemon/request.h
+++ b/packages/daemon/request.h
@@ -9,6 +9,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/ids.h"
+#include "database/retry_policy.h"
 
 /// @file
 /// Internal form of a request and its reply. Neither contains the caller's key.
@@ -43,6 +44,9 @@
   time_point deadline;
 };
 
+/// @return what decides whether the request may be sent again.
+[[nodiscard]] request_traits retry_traits_of(const service_request& request);
+
 /// The result of a request that ended without an error.
 struct service_reply {
   std::string result;  ///< JSON text; empty if there is no result.
--- a/packages/daemon/route.cc
+++ b/packages/daemon/route.cc
@@ -23,15 +23,6 @@
   return left - std::min(left / 10, max_hop_margin);
 }
 
-request_traits traits_of_request(const service_request& request) {
-  request_traits traits;
-  traits.is_read = request.op == operation::execute && request.is_read;
-  traits.is_idempotent = request.is_idempotent || request.op == operation::resolve;
-  traits.has_idempotency_key = !request.idempotency_key.empty();
-  traits.in_transaction = !request.transaction.empty();
-  return traits;
-}
-
 /// @return whether the request did not run and another VM may be able to run it.
 bool is_reroutable(const error& failure) {
   if (failure.request_outcome() != outcome::not_run) return false;
@@ -83,7 +74,7 @@
 }
 
 void request_router::submit(service_request request, reply_callback done) {
-  request_attempts attempts{traits_of_request(request), request.deadline};
+  request_attempts attempts{retry_traits_of(request), request.deadline};
   auto routed = std::make_shared<routed_request>(
       routed_request{std::move(request), std::move(done), attempts, {}, std::nullopt});
   ++pending_;
