Prepare the folder of a local fleet in one place

Change: standins/local_fleet.h has fleet_options_in. No check is changed.

Evidence: daemon_path, 11 test cases pass.

--- a/packages/daemon/callers_page_path_test.cc
+++ b/packages/daemon/callers_page_path_test.cc
@@ -1,6 +1,5 @@
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <filesystem>
 #include <fstream>
 #include <string>
 #include <thread>
@@ -51,11 +50,7 @@
 
 // Guards against examples in docs/callers.md that do not work as written.
 TEST_CASE("the commands of the callers' page run as written") {
-  local_fleet_options options;
-  options.binary_folder = BULRUSHLIFT_BINARY_DIR "/bin";
-  options.work_folder = BULRUSHLIFT_BINARY_DIR "/path/callers_page";
-  std::filesystem::remove_all(options.work_folder);
-  std::filesystem::create_directories(options.work_folder);
+  auto options = fleet_options_in(BULRUSHLIFT_BINARY_DIR, "callers_page");
   options.vms = 2;
   options.services = {{"orders"}, {"stock"}};
   options.customers = {{"shop", 1'000, 1'000, 1}};
--- a/packages/daemon/limits_path_test.cc
+++ b/packages/daemon/limits_path_test.cc
@@ -2,7 +2,6 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <filesystem>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -23,11 +22,7 @@
 constexpr auto event_bound = 60s;
 
 local_fleet start_fleet(const std::string& name, std::vector<local_customer> customers) {
-  local_fleet_options options;
-  options.binary_folder = BULRUSHLIFT_BINARY_DIR "/bin";
-  options.work_folder = std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name;
-  std::filesystem::remove_all(options.work_folder);
-  std::filesystem::create_directories(options.work_folder);
+  auto options = fleet_options_in(BULRUSHLIFT_BINARY_DIR, name);
   options.vms = 3;
   options.services = {{"orders"}};
   options.customers = std::move(customers);
--- a/packages/daemon/request_path_test.cc
+++ b/packages/daemon/request_path_test.cc
@@ -1,7 +1,6 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
-#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -22,11 +21,7 @@
 constexpr auto poll_pause = 20ms;
 
 local_fleet start_fleet(const std::string& name, std::size_t vms) {
-  local_fleet_options options;
-  options.binary_folder = BULRUSHLIFT_BINARY_DIR "/bin";
-  options.work_folder = std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name;
-  std::filesystem::remove_all(options.work_folder);
-  std::filesystem::create_directories(options.work_folder);
+  auto options = fleet_options_in(BULRUSHLIFT_BINARY_DIR, name);
   options.vms = vms;
   options.services = {{"orders"}};
   options.customers = {{"shop", 10'000, 10'000, 1}, {"other", 10'000, 10'000, 1}};
--- a/packages/standins/local_fleet.cc
+++ b/packages/standins/local_fleet.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <cctype>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -266,6 +267,15 @@
   std::map<std::string, std::string> peers_;
 };
 
+local_fleet_options fleet_options_in(const std::string& build_folder, const std::string& name) {
+  local_fleet_options options;
+  options.binary_folder = build_folder + "/bin";
+  options.work_folder = build_folder + "/path/" + name;
+  std::filesystem::remove_all(options.work_folder);
+  std::filesystem::create_directories(options.work_folder);
+  return options;
+}
+
 result<local_fleet> local_fleet::start(const local_fleet_options& options) {
   return local_fleet_starter{options}.start();
 }
--- a/packages/standins/local_fleet.h
+++ b/packages/standins/local_fleet.h
@@ -54,6 +54,10 @@
   std::uint32_t decision_sampling = 1;
 };
 
+/// @param name of the folder for settings and logs, which is created; files of an earlier run are removed.
+/// @return options with the programs and files of a build folder.
+[[nodiscard]] local_fleet_options fleet_options_in(const std::string& build_folder, const std::string& name);
+
 /// The running processes of a deployment, by name. The destructor kills them.
 class local_fleet {
  public:
