Promote documents above the generations that VMs report

Operators would see: after the store came back from an older copy, the operator's program says that a change is in force, and no VM of the HTTP front accepts it.

Cause: the next generation was one above that of the store's record. After a restore it may be one that the VMs have had already, with another document.

Change: the status object of a VM names its environment and the generation in force. A VM writes it at once when the store has another document that is not newer (action publish_generation). A promotion takes the generation after the highest of the record and the status objects. After a failed write, a record other than the replaced one counts as another operator's, also below the own generation. Status objects have one path constant.

Evidence: with each rule left out the tests fail: "a promotion is above the generations that VMs report", "a promotion that loses to a lower generation is a conflict", "a store with another document that is not newer makes the VM publish its generation", "a VM publishes its generation when the store has an older document".

The session front is not concerned: its generations are the operator's.

--- a/packages/cli/fleet_commands.cc
+++ b/packages/cli/fleet_commands.cc
@@ -6,6 +6,7 @@
 
 #include "cli/command.h"
 #include "cli/platform_session.h"
+#include "document/production_record.h"
 
 /// @file
 /// The commands `status` and `drain`. They take the addresses of the admin listeners from the `--admin`
@@ -59,7 +60,7 @@
   const auto address = required_platform(context.options);
   if (!address) return tl::unexpected{address.error()};
   platform_session platform{context.loop, *address};
-  const auto objects = platform.list("status/vms/");
+  const auto objects = platform.list(vm_status_prefix);
   if (!objects) return tl::unexpected{objects.error()};
   std::vector<vm_report> reports;
   for (const auto& it : *objects) {
--- a/packages/cli/object_store.h
+++ b/packages/cli/object_store.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/error.h"
 #include "base/ids.h"
@@ -19,6 +20,7 @@
 template <class T>
 concept object_store = requires(T& store, std::string_view text, std::optional<object_version> condition) {
   { store.get(text) } -> std::same_as<result<platform_object>>;
+  { store.list(text) } -> std::same_as<result<std::vector<platform_object>>>;
   { store.put(text, text, condition) } -> std::same_as<result<object_version>>;
 };
 
--- a/packages/cli/object_store_fake.h
+++ b/packages/cli/object_store_fake.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cli/object_store.h"
 #include "standins/object_store_model.h"
@@ -32,6 +33,16 @@
     return platform_object{found.path, found.version, nlohmann::json::parse(found.value).get<std::string>()};
   }
 
+  [[nodiscard]] result<std::vector<platform_object>> list(std::string_view prefix) {
+    const auto reply = call({.id = 1, .call = store_call_kind::list, .path = std::string{prefix}});
+    if (reply.status != 200) return no_answer();
+    std::vector<platform_object> found;
+    for (const auto& each : reply.objects) {
+      found.push_back({each.path, each.version, nlohmann::json::parse(each.value).get<std::string>()});
+    }
+    return found;
+  }
+
   [[nodiscard]] result<object_version> put(std::string_view path, std::string_view value,
                                            std::optional<object_version> if_version) {
     if (before_put) before_put(path);
--- a/packages/cli/promotion.h
+++ b/packages/cli/promotion.h
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -75,22 +77,40 @@
   return tl::unexpected{std::move(last)};
 }
 
-/// The result of a write as a later read shows it: this promotion took effect (`applied`), another one took
-/// its generation (`superseded`), its generation is not in force yet (`not_applied`), or the read failed
+/// @return the highest generation that a VM of the environment has in force according to its status object;
+///   0 if no VM reports one. After a return of the store from an older copy it is above the one in the store.
+template <object_store Store>
+result<generation_id> highest_reported_generation(Store& store, std::string_view environment) {
+  const auto objects = store.list(vm_status_prefix);
+  if (!objects) return tl::unexpected{objects.error()};
+  generation_id highest{};
+  for (const auto& each : *objects) {
+    const auto status = nlohmann::json::parse(each.value, nullptr, false);
+    if (!status.is_object() || status.value("environment", nlohmann::json{}) != environment) continue;
+    const auto generation = status.find("generation");
+    if (generation == status.end() || !generation->is_number_unsigned()) continue;
+    highest = std::max(highest, generation_id{generation->template get<std::uint64_t>()});
+  }
+  return highest;
+}
+
+/// The result of a write as a later read shows it: this promotion took effect (`applied`), another one
+/// replaced the same record (`superseded`), that record is still in force (`not_applied`), or the read failed
 /// (`unreadable`).
 enum class write_state { applied, superseded, not_applied, unreadable };
 
 /// Reads the record in force, and the history if needed, to find out whether a write took effect.
+/// @param replaced the generation that the write replaces.
 /// @param winner receives the record in force, unless the result is `unreadable` because it can't be read.
 template <object_store Store>
 write_state verify_write(Store& store, std::string_view environment, const production_record& written,
-                         production_record& winner) {
+                         generation_id replaced, production_record& winner) {
   const auto now = read_in_force(store, environment);
   if (!now) return write_state::unreadable;
   winner = now->record;
   if (winner.promotion_id == written.promotion_id) return write_state::applied;
-  if (winner.generation < written.generation) return write_state::not_applied;
-  if (winner.generation == written.generation) return write_state::superseded;
+  if (winner.generation <= replaced) return write_state::not_applied;
+  if (winner.generation <= written.generation) return write_state::superseded;
   // A later promotion is in force. The record that it replaced is in the history and may be the written one.
   const auto kept = store.get(history_path(environment, written.generation));
   if (!kept)
@@ -103,8 +123,9 @@
 }  // namespace internal
 
 /// Puts a document into force: saves the record in force to the history, then replaces it by a conditional
-/// write. The text is stored byte for byte. After a failed write,
-/// the record in force is read back, and the write is repeated unless it took effect or was superseded.
+/// write. The new generation is above the one in the store and above those that VMs report, because VMs
+/// accept only a higher one. The text is stored byte for byte. After a failed write, the record in force is
+/// read back, and the write is repeated unless it took effect or was superseded.
 /// @return the new record; `conflict` with the generation in force if another promotion came first;
 ///   `outcome_unknown` if no read shows which of the two happened; or the error of a read or of the history
 ///   write, after which the document in force is unchanged.
@@ -119,15 +140,18 @@
     const auto kept = internal::save_history(store, request.environment, current->record);
     if (!kept) return tl::unexpected{kept.error()};
   }
-  const production_record next{request.tried_against.next(), request.promotion_id,
-                               document_digest(request.text), request.text};
+  const auto reported = internal::highest_reported_generation(store, request.environment);
+  if (!reported) return tl::unexpected{reported.error()};
+  const auto generation = std::max(request.tried_against, *reported).next();
+  const production_record next{generation, request.promotion_id, document_digest(request.text), request.text};
   const auto path = production_path(request.environment);
   // The condition on the version makes the write safe to repeat: at most one attempt can succeed.
   for (int i = 0; i < max_write_attempts; ++i) {
     const auto written = store.put(path, format_record(next), current->version);
     if (written) return next;
     production_record winner;
-    const auto state = internal::verify_write(store, request.environment, next, winner);
+    const auto state =
+        internal::verify_write(store, request.environment, next, request.tried_against, winner);
     if (state == internal::write_state::applied) return next;
     if (state == internal::write_state::superseded)
       return internal::generation_conflict(winner, request.tried_against);
--- a/packages/cli/promotion_test.cc
+++ b/packages/cli/promotion_test.cc
@@ -16,6 +16,10 @@
   result<production_record> write(const std::string& text, const std::string& id, std::uint64_t against) {
     return promote(store, {"env", text, id, generation_id{against}});
   }
+  void report(const std::string& vm, const std::string& environment, std::uint64_t generation) {
+    const nlohmann::json status{{"vm", vm}, {"environment", environment}, {"generation", generation}};
+    REQUIRE(store.put(std::string{vm_status_prefix} + vm, status.dump(), std::nullopt));
+  }
   [[nodiscard]] production_record in_force() {
     object_store_fake reader{model};
     return read_in_force(reader, "env").value().record;
@@ -69,6 +73,35 @@
   CHECK(it.in_force().text == "winner");
 }
 
+// Guards against a change that no VM accepts because the store came back from an older copy, in which its
+// generation is not above the one in force.
+TEST_CASE("a promotion is above the generations that VMs report") {
+  promotion_fixture it;
+  it.report("vm-1", "env", 6);
+  it.report("vm-2", "env", 7);
+  it.report("vm-3", "other", 90);
+  CHECK(it.write("second", "p2", 1).value().generation == generation_id{8});
+  CHECK(it.in_force().generation == generation_id{8});
+  CHECK(it.write("third", "p3", 8).value().generation == generation_id{9});
+}
+
+// Guards against an unknown outcome if another operator wins with a generation below the one that was lost.
+TEST_CASE("a promotion that loses to a lower generation is a conflict") {
+  promotion_fixture it;
+  it.report("vm-1", "env", 7);
+  bool raced = false;
+  it.store.before_put = [&](std::string_view path) {
+    if (path != production || raced) return;
+    raced = true;
+    const production_record winner{generation_id{2}, "p2", document_digest("winner"), "winner"};
+    object_store_fake other{it.model};
+    REQUIRE(other.put(production, format_record(winner), std::nullopt));
+  };
+  const auto loser = it.write("loser", "p3", 1);
+  REQUIRE_FALSE(loser);
+  CHECK(loser.error().kind == error_kind::conflict);
+}
+
 // Guards against reporting a failure to the operator although the document is in force.
 TEST_CASE("a promotion whose answer is lost is found by reading back") {
   promotion_fixture it;
--- a/packages/daemon/configuration_adapter.cc
+++ b/packages/daemon/configuration_adapter.cc
@@ -151,6 +151,11 @@
                                        {"reason", action.reason.message}});
 }
 
+void configuration_adapter::run(const publish_generation& action) {
+  log_warning("store_outdated", {{"in_force", action.in_force.value()}});
+  handlers_.on_store_outdated();
+}
+
 void configuration_adapter::run(const apply_leaving_targets& action) {
   context_.shared.leaving_targets = {action.targets.begin(), action.targets.end()};
   log_info("leaving_targets", {{"count", static_cast<std::uint64_t>(action.targets.size())}});
--- a/packages/daemon/configuration_adapter.h
+++ b/packages/daemon/configuration_adapter.h
@@ -21,6 +21,8 @@
   struct callbacks {
     /// The document or the leaving targets in the shared state changed.
     std::function<void()> on_changed;
+    /// The store has another document that is not newer than the one in force.
+    std::function<void()> on_store_outdated;
   };
 
   configuration_adapter(daemon_context& context, object_store_client& platform, peer_adapter& peers,
@@ -50,6 +52,7 @@
   void run(const ask_peer& action);
   void run(const apply_document& action);
   void run(const reject_document& action);
+  void run(const publish_generation& action);
   void run(const apply_leaving_targets& action);
   void on_store_answer(configuration_call call, const store_answer& answer);
   void on_store_failure(configuration_call call, const error& reason);
--- a/packages/daemon/daemon.cc
+++ b/packages/daemon/daemon.cc
@@ -37,7 +37,8 @@
       // The client has no pacing, because the configuration controller paces its calls itself.
       platform_(context.loop, address_of(context.options.platform).value_or(net_address{}), {}),
       peers_(context),
-      configuration_(context, platform_, peers_, {[this] { on_configuration_changed(); }}),
+      configuration_(context, platform_, peers_,
+                     {[this] { on_configuration_changed(); }, [this] { status_.write(); }}),
       budgets_(context, peers_),
       router_(context, peers_),
       pipeline_(context, configuration_, budgets_, router_),
--- a/packages/daemon/outage_path_test.cc
+++ b/packages/daemon/outage_path_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <csignal>
@@ -7,6 +8,7 @@
 #include <string>
 #include <thread>
 
+#include "document/production_record.h"
 #include "standins/local_fleet.h"
 
 namespace bulrushlift {
@@ -56,6 +58,30 @@
   }
 }
 
+void await_generation(const local_fleet& fleet, const std::string& vm, std::uint64_t generation) {
+  const auto end = std::chrono::steady_clock::now() + event_bound;
+  while (true) {
+    const auto answer = plain_request(fleet.admin_address(vm), "GET", "/v1/status");
+    if (answer && json::parse(answer->body).at("generation") == generation) return;
+    REQUIRE(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(20ms);
+  }
+}
+
+/// @return the highest generation in the status objects of the store.
+std::uint64_t highest_published_generation(const local_fleet& fleet) {
+  const auto list =
+      plain_request(fleet.platform_address(), "GET", "/v1/list/" + std::string{vm_status_prefix});
+  REQUIRE(list.has_value());
+  std::uint64_t highest = 0;
+  const auto fields = json::parse(list->body);
+  for (const auto& each : fields.at("objects")) {
+    const auto status = json::parse(each.at("value").get<std::string>());
+    highest = std::max(highest, status.value("generation", std::uint64_t{0}));
+  }
+  return highest;
+}
+
 void break_store(const local_fleet& fleet) {
   const auto answer = plain_request(fleet.platform_address(), "POST", "/v1/faults", R"({"down": true})");
   REQUIRE(answer.has_value());
@@ -76,6 +102,27 @@
   await_done(fleet, "entry-1", {{"route", "orders"}, {"kind", "write"}, {"statement", "set hide paid"}});
 }
 
+// Guards against an operator's program that cannot learn which generation is in force after the store came
+// back from an older copy.
+TEST_CASE("a VM publishes its generation when the store has an older document") {
+  auto fleet = start_fleet("outage_older_store");
+  for (const auto& vm : fleet.vms()) await_ready(fleet, vm);
+  const auto production = "/v1/objects/" + production_path(fleet.environment());
+  const auto older = plain_request(fleet.platform_address(), "GET", production);
+  REQUIRE(older.has_value());
+  REQUIRE(fleet.put_document(fleet.document_text()).has_value());
+  for (const auto& vm : fleet.vms()) await_generation(fleet, vm, 2);
+
+  const json body{{"value", json::parse(older->body).at("value")}};
+  REQUIRE(plain_request(fleet.platform_address(), "PUT", production, body.dump()).has_value());
+
+  const auto end = std::chrono::steady_clock::now() + event_bound;
+  while (highest_published_generation(fleet) != 2) {
+    REQUIRE(std::chrono::steady_clock::now() < end);
+    std::this_thread::sleep_for(20ms);
+  }
+}
+
 /// Changes the peer address in the settings of a VM, so that it differs from the one in the document.
 void move_peer_address(const std::string& settings_path) {
   auto fields = json::parse(std::ifstream{settings_path});
--- a/packages/daemon/status_adapter.cc
+++ b/packages/daemon/status_adapter.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/log.h"
+#include "document/production_record.h"
 
 namespace bulrushlift {
 
@@ -17,14 +18,17 @@
 
 void status_adapter::write() {
   timer_.set(context_.options.timing.status_interval, [this] { write(); });
-  platform_.put("status/vms/" + context_.options.vm.str(), value(), std::nullopt,
+  platform_.put(std::string{vm_status_prefix} + context_.options.vm.str(), value(), std::nullopt,
                 [](const result<object_version>& written) {
                   if (!written) log_debug("status_not_written", {{"reason", written.error().message}});
                 });
 }
 
 std::string status_adapter::value() const {
-  nlohmann::json object{{"vm", context_.options.vm.str()}, {"admin", admin_address_}};
+  nlohmann::json object{{"vm", context_.options.vm.str()},
+                        {"admin", admin_address_},
+                        {"environment", context_.options.environment},
+                        {"generation", context_.shared.configuration.generation().value()}};
   for (const auto& [name, executor] : router_.executors()) {
     const auto& group = executor->group();
     if (!group.is_owner) continue;
--- a/packages/daemon/status_adapter.h
+++ b/packages/daemon/status_adapter.h
@@ -5,8 +5,8 @@
 #include "net/object_store_client.h"
 
 /// @file
-/// Writes the object `status/vms/<vm>` to the store: the address of the operators' listener of this VM, and
-/// the primaries of the services that it owns.
+/// Writes the object `status/vms/<vm>` to the store: the address of the operators' listener of this VM, the
+/// generation of the configuration in force, and the primaries of the services that this VM owns.
 
 namespace bulrushlift {
 
@@ -19,8 +19,10 @@
   /// @param admin bound address of the operators' listener.
   void start(const net_address& admin);
 
- private:
+  /// Writes the status at once.
   void write();
+
+ private:
   [[nodiscard]] std::string value() const;
 
   daemon_context& context_;
--- a/packages/document/production_record.h
+++ b/packages/document/production_record.h
@@ -7,7 +7,8 @@
 #include "base/ids.h"
 
 /// @file
-/// Values of the objects `environments/<env>/production`, `history/<generation>` and `trial`.
+/// Values of the objects `environments/<env>/production`, `history/<generation>` and `trial`, and the paths
+/// of objects that proxies and the operator's program share.
 
 namespace bulrushlift {
 
@@ -40,6 +41,9 @@
 /// @return the SHA-256 digest of `text` in hexadecimal digits.
 [[nodiscard]] std::string document_digest(std::string_view text);
 
+/// Path prefix of the status objects of the VMs of all environments; the name of the VM follows.
+inline constexpr std::string_view vm_status_prefix = "status/vms/";
+
 /// Paths of the objects of one environment.
 [[nodiscard]] std::string production_path(std::string_view environment);
 [[nodiscard]] std::string trial_path(std::string_view environment);
--- a/packages/fleet/configuration_controller.cc
+++ b/packages/fleet/configuration_controller.cc
@@ -208,6 +208,7 @@
   const bool same = record->generation == current && record->text == text_;
   if (!same && !accept(record->generation, record->text, "store", call.sent_at, actions)) {
     pacer_.failed(now);
+    if (record->generation <= current) actions.emplace_back(publish_generation{current});
     return;
   }
   pacer_.succeeded();
--- a/packages/fleet/configuration_controller.h
+++ b/packages/fleet/configuration_controller.h
@@ -120,12 +120,17 @@
   std::string source;
   error reason;
 };
+/// The store has no newer document than the one in force, but another one. Publish the generation in force,
+/// so that the next promotion is above it.
+struct publish_generation {
+  generation_id in_force;
+};
 /// The set of leaving targets changed.
 struct apply_leaving_targets {
   std::vector<target_id> targets;
 };
-using configuration_action =
-    std::variant<read_store, list_vms, ask_peer, apply_document, reject_document, apply_leaving_targets>;
+using configuration_action = std::variant<read_store, list_vms, ask_peer, apply_document, reject_document,
+                                          publish_generation, apply_leaving_targets>;
 using configuration_actions = std::vector<configuration_action>;
 
 /// @return the members that watch the production object for `data_centre`: its two alive members with
--- a/packages/fleet/configuration_controller_test.cc
+++ b/packages/fleet/configuration_controller_test.cc
@@ -238,6 +238,22 @@
   CHECK(actions_of<read_store>(more).at(0).watch_after == object_version{12});
 }
 
+// Guards against changes that no VM accepts: a store from an older copy gives their generations out again, so
+// the operator's program has to learn which generation is in force.
+TEST_CASE("a store with another document that is not newer makes the VM publish its generation") {
+  controller_fixture it;
+  auto object = make_object(3, 12);
+  SECTION("an older generation") { object = make_object(2, 12); }
+  SECTION("the same generation") {
+    const auto other = std::string{text} + "\n";
+    object.value = format_record(production_record{generation_id{3}, "p", document_digest(other), other});
+  }
+  const auto actions = it.controller.store_answered(it.clock.now(), it.watch.call, object);
+  const auto published = actions_of<publish_generation>(actions);
+  REQUIRE(published.size() == 1);
+  CHECK(published[0].in_force == generation_id{3});
+}
+
 // Guards against watching from a version that was read before another VM watched: the store may have come
 // back from an older copy in between.
 TEST_CASE("a VM that begins to watch again reads the object first") {
