Let a transfer of the configuration that is under way complete

Callers saw: on VMs with a slow link, a confirmed route is refused with 404, and dropped routes and keys are in use, for as long as the document is large.

Cause: a call to the store had one timeout for the whole response, and a heartbeat with a newer generation made a VM give up the response that was arriving, list the store, ask a peer meanwhile and another one after 0.5 s. A megabyte takes 0.8 s over 10 Mbit/s alone. What was given up still came over the same link, so nothing was complete in time and each attempt was followed by the next.

--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -14,7 +14,8 @@
 using std::chrono::seconds;
 
 constexpr duration write_timeout = seconds{1};
-constexpr duration peer_timeout = milliseconds{500};
+// A large configuration takes seconds over a slow link.
+constexpr duration peer_timeout = seconds{8};
 constexpr duration announce_retry = milliseconds{500};
 
 // A configuration must be in force on all VMs within 3 s, even if the connection of a watch goes
@@ -108,6 +109,7 @@
   }
   configuration_content_ = content;
   context_.shared.environment = std::make_shared<const sql::environment>(std::move(*decoded));
+  fetch_.on_applied();
   context_.shared.confirmations.on_applied(context_.shared.environment->generation, context_.loop.now());
   log_info("configuration_in_force",
            {{"source", source}, {"generation", context_.shared.environment->generation.value()}});
@@ -129,9 +131,6 @@
 }
 
 void store_adapter::request_configuration(const vm_id& peer) {
-  const auto now = context_.loop.now();
-  if (now - last_peer_request_ < peer_timeout) return;
-  last_peer_request_ = now;
   peer::envelope_t message;
   peer::document_request_t request;
   request.generation = static_cast<std::int64_t>(
@@ -139,6 +138,7 @@
   message.__set_document_request(request);
   peers_.request(peer, std::move(message), peer_timeout, [this, peer](const result<peer::envelope_t>& reply) {
     if (!reply || !reply->__isset.document_reply) {
+      fetch_.on_peer_failed();
       log_warning("configuration_not_fetched",
                   {{"peer", peer.str()},
                    {"reason", reply ? "the reply has no document" : reply.error().message.c_str()}});
@@ -261,19 +261,19 @@
   const auto& environment = context_.shared.environment;
   if (environment && status.generation <= environment->generation) return;
   if (status.generation == generation_id{}) return;
-  // A listing that did not bring a generation that a peer has is of a store that came back older.
-  const bool is_listed = status.generation <= listed_for_;
-  if (configuration_.is_reachable() && !is_listed) {
-    listed_for_ = status.generation;
-    configuration_.refresh();
-  } else {
-    request_configuration(peer);
-  }
+  const store_access store{configuration_.is_reachable(), configuration_.is_refreshing(),
+                           store_.is_receiving(object_kind::configuration)};
+  const auto source = fetch_.choose(status.generation, store, context_.loop.now());
+  if (source == fetch_source::store) configuration_.refresh();
+  if (source == fetch_source::peer) request_configuration(peer);
 }
 
 void store_adapter::on_tick() {
   // While the store does not answer, the mirror calls it again by itself.
-  if (!configuration_.is_reachable() || !context_.shared.confirmations.try_check(context_.loop.now())) return;
+  if (!configuration_.is_reachable() || configuration_.is_refreshing()) return;
+  // The response that is arriving confirms the configuration or brings a newer one.
+  if (store_.is_receiving(object_kind::configuration)) return;
+  if (!context_.shared.confirmations.try_check(context_.loop.now())) return;
   log_info("configuration_checked", {{"reason", "no VM has confirmed it recently"}});
   configuration_.refresh();
 }
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -8,6 +8,7 @@
 #include "entry/entry_context.h"
 #include "entry/peer_adapter.h"
 #include "entry/store_mirror.h"
+#include "fleet/configuration_fetch.h"
 #include "platform/documents.h"
 #include "platform/object_store.h"
 #include "sql/report_filter.h"
@@ -73,8 +74,7 @@
   peer_adapter& peers_;
   observer callbacks_;
   nlohmann::json configuration_content_;  ///< The configuration in force, unparsed.
-  time_point last_peer_request_{};
-  generation_id listed_for_;  ///< Newest generation of a peer for which the store was listed.
+  configuration_fetch fetch_;
   platform::object_store store_;
   store_mirror configuration_;
   store_mirror targets_;
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -60,8 +60,10 @@
 
   /// @return whether the first listing is complete.
   [[nodiscard]] bool is_synced() const noexcept { return is_synced_; }
-  /// @return whether the last call to the store succeeded and no refresh is in progress.
-  [[nodiscard]] bool is_reachable() const noexcept { return failures_ == 0 && !is_refreshing_; }
+  /// @return whether the last call to the store succeeded.
+  [[nodiscard]] bool is_reachable() const noexcept { return failures_ == 0; }
+  /// @return whether a refresh has begun and its listing is not complete.
+  [[nodiscard]] bool is_refreshing() const noexcept { return is_refreshing_; }
   /// @return the last version of an object that was received; 0 if the store holds no such object.
   [[nodiscard]] store_version version_of(const std::string& name) const;
 
--- a/packages/net/http_client.cc
+++ b/packages/net/http_client.cc
@@ -13,7 +13,11 @@
 class http_connection::state : public tcp_stream_observer, public std::enable_shared_from_this<state> {
  public:
   state(event_loop& loop, http_client_limits limits)
-      : loop_(loop), stream_(loop, *this), parser_(limits.head_bytes, limits.body_bytes), timer_(loop) {}
+      : loop_(loop),
+        stream_(loop, *this),
+        parser_(limits.head_bytes, limits.body_bytes),
+        receive_pause_(limits.receive_pause),
+        timer_(loop) {}
 
   void open(const net_address& address, duration timeout, open_callback done) {
     address_ = address.str();
@@ -30,11 +34,10 @@
       return;
     }
     on_response_ = std::move(done);
+    is_receiving_ = false;
     start_ = stream_.sent_bytes();
     stream_.write(serialize(request, address_));
-    timer_.set(timeout, [this] {
-      fail({error_kind::deadline_exceeded, fmt::format("no answer from {} in time", address_)});
-    });
+    set_deadline(timeout);
   }
 
   void on_connected() override {
@@ -56,7 +59,11 @@
       return;
     }
     input_.erase(0, *used);
-    if (!parser_.is_done()) return;
+    if (!parser_.is_done()) {
+      is_receiving_ = true;
+      if (receive_pause_) set_deadline(*receive_pause_);
+      return;
+    }
     if (!input_.empty()) {
       fail({error_kind::protocol_error, fmt::format("{} sent more than one response", address_)});
       return;
@@ -104,9 +111,16 @@
   void on_close(close_callback callback) { on_close_ = std::move(callback); }
   [[nodiscard]] bool is_open() const noexcept { return stream_.is_connected(); }
   [[nodiscard]] bool is_busy() const noexcept { return on_response_ != nullptr; }
+  [[nodiscard]] bool is_receiving() const noexcept { return is_busy() && is_receiving_; }
   [[nodiscard]] bool may_have_left() const noexcept { return stream_.sent_bytes() > start_; }
 
  private:
+  void set_deadline(duration timeout) {
+    timer_.set(timeout, [this] {
+      fail({error_kind::deadline_exceeded, fmt::format("no answer from {} in time", address_)});
+    });
+  }
+
   void refuse(response_callback done) {
     loop_.post([weak = weak_from_this(), done = std::move(done)] {
       if (weak.expired()) return;
@@ -135,6 +149,7 @@
   event_loop& loop_;
   tcp_stream stream_;
   http_response_parser parser_;
+  std::optional<duration> receive_pause_;
   scoped_timer timer_;
   std::string address_;
   std::string input_;
@@ -142,6 +157,7 @@
   open_callback on_open_;
   response_callback on_response_;
   close_callback on_close_;
+  bool is_receiving_ = false;
   bool is_failed_ = false;
 };
 
@@ -162,6 +178,7 @@
 void http_connection::on_close(close_callback callback) { state_->on_close(std::move(callback)); }
 bool http_connection::is_open() const noexcept { return state_->is_open(); }
 bool http_connection::is_busy() const noexcept { return state_->is_busy(); }
+bool http_connection::is_receiving() const noexcept { return state_->is_receiving(); }
 bool http_connection::may_have_left() const noexcept { return state_->may_have_left(); }
 
 }  // namespace bulrushlift
--- a/packages/net/http_client.h
+++ b/packages/net/http_client.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -23,6 +24,9 @@
 struct http_client_limits {
   std::uint32_t head_bytes = 16U << 10U;
   std::uint64_t body_bytes = 4U << 20U;
+  /// Longest pause within a response. If set, the timeout of a request ends with the first byte of its
+  /// response, so that a large response may take as long as a slow network needs.
+  std::optional<duration> receive_pause = std::nullopt;
 };
 
 /// A connection that carries one request at a time and is closed on timeout.
@@ -46,7 +50,8 @@
   void open(const net_address& address, duration timeout, open_callback done);
 
   /// Sends a request and waits for the whole response.
-  /// @param timeout after it the connection is closed and `done` gets `deadline_exceeded`.
+  /// @param timeout after it the connection is closed and `done` gets `deadline_exceeded`; see also
+  ///   `http_client_limits::receive_pause`.
   /// @param done gets `target_unavailable` if the connection ends first, `protocol_error`
   ///   for a malformed response, and `internal_error` with `not_run` while another request
   ///   is in flight or the connection is not open.
@@ -61,6 +66,9 @@
   [[nodiscard]] bool is_open() const noexcept;
   [[nodiscard]] bool is_busy() const noexcept;
 
+  /// @return whether the response of the current request has arrived in part.
+  [[nodiscard]] bool is_receiving() const noexcept;
+
   /// @return whether a byte of the last request may have left.
   [[nodiscard]] bool may_have_left() const noexcept;
 
--- a/packages/platform/object_store.cc
+++ b/packages/platform/object_store.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 #include <system_error>
@@ -15,7 +16,8 @@
 // Idle connections that are kept for reuse.
 constexpr std::size_t max_idle_connections = 2;
 
-constexpr http_client_limits response_limits{16U << 10U, 8U << 20U};
+// A page of a listing has about 1 MB and may take seconds on a slow network.
+constexpr http_client_limits response_limits{16U << 10U, 8U << 20U, std::chrono::seconds{2}};
 
 constexpr int http_ok = 200;
 constexpr int http_created = 201;
@@ -211,30 +213,31 @@
 void object_store::call(object_kind kind, http_request request, duration timeout,
                         callback<http_response> done) {
   ++call_counts_.at(static_cast<std::size_t>(kind));
-  while (!idle_.empty() && !idle_.front()->is_open()) idle_.pop_front();
+  while (!idle_.empty() && !idle_.front().http.is_open()) idle_.pop_front();
   if (!idle_.empty()) {
+    idle_.front().kind = kind;
     busy_.splice(busy_.begin(), idle_, idle_.begin());
     send(busy_.begin(), request, timeout, std::move(done));
     return;
   }
-  busy_.push_front(std::make_unique<http_connection>(loop_, response_limits));
+  busy_.emplace_front(loop_, response_limits, kind);
   const auto connection = busy_.begin();
-  (*connection)
-      ->open(address_, timeout,
-             [this, connection, request = std::move(request), timeout,
-              done = std::move(done)](const result<void>& opened) {
-               if (opened) return send(connection, request, timeout, done);
-               release(connection);
-               done(tl::unexpected<error>(opened.error()));
-             });
+  connection->http.open(address_, timeout,
+                        [this, connection, request = std::move(request), timeout,
+                         done = std::move(done)](const result<void>& opened) {
+                          if (opened) return send(connection, request, timeout, done);
+                          release(connection);
+                          done(tl::unexpected<error>(opened.error()));
+                        });
 }
 
 void object_store::send(connection_list::iterator connection, const http_request& request, duration timeout,
                         callback<http_response> done) {
-  (*connection)->send(request, timeout, [this, connection, done = std::move(done)](result<http_response> r) {
-    release(connection);
-    done(check_epoch(std::move(r)));
-  });
+  connection->http.send(request, timeout,
+                        [this, connection, done = std::move(done)](result<http_response> r) {
+                          release(connection);
+                          done(check_epoch(std::move(r)));
+                        });
 }
 
 result<http_response> object_store::check_epoch(result<http_response> response) {
@@ -262,8 +265,13 @@
 
 void object_store::close_idle() { idle_.clear(); }
 
+bool object_store::is_receiving(object_kind kind) const noexcept {
+  return std::any_of(busy_.begin(), busy_.end(),
+                     [kind](const auto& each) { return each.kind == kind && each.http.is_receiving(); });
+}
+
 void object_store::release(connection_list::iterator connection) {
-  if ((*connection)->is_open() && idle_.size() < max_idle_connections) {
+  if (connection->http.is_open() && idle_.size() < max_idle_connections) {
     idle_.splice(idle_.begin(), busy_, connection);
     return;
   }
--- a/packages/platform/object_store.h
+++ b/packages/platform/object_store.h
@@ -109,13 +109,23 @@
   /// of its own.
   void on_restored(std::function<void()> handler) { on_restored_ = std::move(handler); }
 
+  /// @return whether a response about objects of a kind has arrived in part.
+  [[nodiscard]] bool is_receiving(object_kind kind) const noexcept;
+
   /// @return number of calls about objects of a kind since the client was created.
   [[nodiscard]] std::uint64_t call_count(object_kind kind) const noexcept {
     return call_counts_.at(static_cast<std::size_t>(kind));
   }
 
  private:
-  using connection_list = std::list<std::unique_ptr<http_connection>>;
+  struct store_connection {
+    store_connection(event_loop& loop, const http_client_limits& limits, object_kind carried)
+        : http(loop, limits), kind(carried) {}
+
+    http_connection http;
+    object_kind kind;  ///< Of the call that the connection carries, or of the last one.
+  };
+  using connection_list = std::list<store_connection>;
 
   void call(object_kind kind, http_request request, duration timeout, callback<http_response> done);
   void send(connection_list::iterator connection, const http_request& request, duration timeout,
