Review: a proxy stops to serve after connections are reset inside transactions

Cause: a statement is sent on a connection of a transaction that has closed, is never answered, and its slot never becomes free. Conclusion: recorded; nothing is fixed here.

--- a/review/standin/standin.h
+++ b/review/standin/standin.h
@@ -452,6 +452,23 @@
     std::lock_guard lock{mutex_};
     return runs_;
   }
+  // Resets every second one of the connections whose far ports are chosen.
+  // @return their number.
+  int reset_half(const std::function<bool(int port)>& is_chosen) {
+    std::lock_guard lock{mutex_};
+    int seen = 0, reset = 0;
+    for (const auto& [port, handle] : handles_) {
+      if (!is_chosen(port) || seen++ % 2 == 1) continue;
+      const linger at_once{1, 0};
+      ::setsockopt(handle, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+      sockaddr unspecified{};
+      unspecified.sa_family = AF_UNSPEC;
+      ::connect(handle, &unspecified, sizeof unspecified);  // Sends a reset.
+      ::shutdown(handle, SHUT_RDWR);
+      ++reset;
+    }
+    return reset;
+  }
   // @return the value of an item in the primary's log.
   std::string value(const std::string& item) {
     std::lock_guard lock{mutex_};
@@ -577,6 +594,10 @@
       }
       ++at.connections;
     }
+    {
+      std::lock_guard lock{mutex_};
+      handles_[here.peer_port] = handle;
+    }
     bool is_open = send_all(handle, ready(at, here));
     while (is_open && (line = input.next())) {
       if (*line == "CLOSE") break;
@@ -588,6 +609,7 @@
     }
     std::lock_guard lock{mutex_};
     --at.connections;
+    handles_.erase(here.peer_port);
     if (here.state != 'I') record.line("%s conn %llu: closed, transaction %llu rolled back", at.id.c_str(),
                                        static_cast<unsigned long long>(here.number),
                                        static_cast<unsigned long long>(here.transaction));
@@ -763,6 +785,7 @@
   std::map<std::string, std::unique_ptr<member>> members_;
   std::string primary_;
   std::uint64_t term_ = 1;
+  std::map<int, int> handles_;  // Connections by the port at which they begin.
   std::uint64_t last_connection_ = 0;
   std::uint64_t last_transaction_ = 0;
   std::uint64_t sequence_ = 0;
