Review: more writers in the case of the slow link

Change: sixteen writers. Conclusion: the case no longer depends on the size of the kernel's buffers of one machine.

--- a/review/standin/queued.cc
+++ b/review/standin/queued.cc
@@ -19,8 +19,8 @@
     site.links[at]->set_rate(10);
   }
 
-  // Ten clients; each writes one document of 250 kB, the larger ones that the configuration allows.
-  constexpr int writers = 10;
+  // Sixteen clients; each writes one document of 250 kB, the larger ones that the configuration allows.
+  constexpr int writers = 16;
   std::vector<client_answer> answers(writers);
   std::vector<std::thread> threads;
   for (int i = 0; i < writers; ++i) {
