--- a/review/standin/hang.cc
+++ b/review/standin/hang.cc
@@ -25,9 +25,9 @@
   std::mutex mutex;
   std::vector<operation> operations;
   std::vector<std::thread> clients;
-  // 40 clients of the route burn-order. Two of five operations are transactions, with pauses between their
+  // 60 clients of the route burn-order. Two of five operations are transactions, with pauses between their
   // statements; 35 % of the others write. After a failure a client opens a new session on the next proxy.
-  for (int i = 0; i < 40; ++i) {
+  for (int i = 0; i < 60; ++i) {
     clients.emplace_back([&, i] {
       const auto label = "client " + std::to_string(i + 1);
       std::mt19937 random{static_cast<unsigned>(i)};
@@ -47,7 +47,7 @@
             each.is_served = session->query("BEGIN").is_success();
             for (int n = 0; n < 2 && each.is_served; ++n) {
               each.is_served = session->query(n == 0 ? "WRITE " + item + " v" : "READ " + item).is_success();
-              pause_ms(400 + static_cast<int>(random() % 600));
+              pause_ms(600 + static_cast<int>(random() % 1000));
             }
             each.is_served = each.is_served && session->query("COMMIT").is_success();
           } else {
