Read the capacity of a VM from its settings

Cause: the settings tell what processor, memory, descriptors and link a VM has, and the process read none of it; the parts that place owners and bound memory need it. Change: an optional block "capacity" in the settings, 0 for what is not known. Nothing uses it yet. Result: unit test; no behaviour changes.

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace bulrushlift::entry {
 namespace {
@@ -62,6 +63,31 @@
   return std::nullopt;
 }
 
+constexpr double bytes_per_megabyte = 1024.0 * 1024.0;
+
+/// Reads the optional block that says what the VM has.
+std::optional<error> read_capacity(const json& document, vm_capacity& out) {
+  const auto it = document.find("capacity");
+  if (it == document.end()) return std::nullopt;
+  if (!it->is_object()) return invalid_field("capacity", "is not an object").value();
+  double core_share = 0;
+  double cores = 1;
+  double memory_mb = 0;
+  double descriptors = 0;
+  const std::pair<const char*, double*> fields[] = {{"core_share", &core_share},
+                                                    {"cores", &cores},
+                                                    {"memory_mb", &memory_mb},
+                                                    {"descriptors", &descriptors},
+                                                    {"link_mbps", &out.link_mbps}};
+  for (const auto& [name, value] : fields) {
+    if (auto failure = read_number(*it, name, *value)) return failure;
+  }
+  out.cores = core_share * cores;
+  out.memory_bytes = static_cast<std::uint64_t>(memory_mb * bytes_per_megabyte);
+  out.descriptors = static_cast<std::uint64_t>(descriptors);
+  return std::nullopt;
+}
+
 }  // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text) {
@@ -89,6 +115,7 @@
       read_duration<std::chrono::milliseconds>(document, "configuration_bound_ms", out.configuration_bound));
   check(read_duration<std::chrono::milliseconds>(document, "target_report_interval_ms",
                                                  out.target_report_interval));
+  check(read_capacity(document, out.capacity));
   if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -16,6 +16,16 @@
 
 namespace bulrushlift::entry {
 
+/// What one VM has. A value of 0 means that it is not known.
+struct vm_capacity {
+  double cores = 0;      ///< Cores that the process may keep busy; a part of one core is usual.
+  double link_mbps = 0;  ///< Bandwidth of the VM's network link, in Mbit/s.
+  std::uint64_t memory_bytes = 0;
+  std::uint64_t descriptors = 0;  ///< Open files and sockets that the process may have.
+
+  friend bool operator==(const vm_capacity&, const vm_capacity&) = default;
+};
+
 struct entry_settings {
   vm_id vm;
   data_centre_id data_centre;
@@ -36,6 +46,7 @@
   duration configuration_bound = std::chrono::seconds{3};
   /// Interval of the reports that a target makes to the store.
   duration target_report_interval = std::chrono::milliseconds{1'200};
+  vm_capacity capacity;
   log_level level = log_level::info;
   /// Maximum number of log lines per second of each event. Examples of a frequent event, such as a
   /// refusal, are enough for an investigation.
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -30,6 +30,23 @@
   CHECK(parsed->target_report_interval == std::chrono::milliseconds{800});
 }
 
+// Guards against a VM whose limits are taken for those of another: the units differ by field.
+TEST_CASE("The capacity of the VM is read in cores, bytes and Mbit/s") {
+  CHECK(parse_entry_settings(settings_text())->capacity == vm_capacity{});
+  const auto parsed = parse_entry_settings(settings_text(
+      R"("capacity": {"core_share": 0.25, "cores": 2, "memory_mb": 112, "descriptors": 3080, "link_mbps": 10},
+         "vm": "entry-1")"));
+  REQUIRE(parsed);
+  CHECK(parsed->capacity.cores == 0.5);
+  CHECK(parsed->capacity.memory_bytes == std::uint64_t{112} * 1024 * 1024);
+  CHECK(parsed->capacity.descriptors == 3080);
+  CHECK(parsed->capacity.link_mbps == 10);
+  const auto negative =
+      parse_entry_settings(settings_text(R"("capacity": {"link_mbps": -1}, "vm": "entry-1")"));
+  REQUIRE_FALSE(negative);
+  CHECK(negative.error().message == "link_mbps: is not a number of at least 0");
+}
+
 TEST_CASE("Wrong settings name the field") {
   const auto missing = parse_entry_settings(settings_text(R"("other": 1)"));
   REQUIRE_FALSE(missing);
