Run reads in the caller's data centre through a gateway of each service there

Cause: one owner VM ran all statements of a service, in whatever data centre the hash put it, so a read of a caller beside a replica crossed between data centres twice; and all VMs counted as equal, though their settings differ several times in processor and link.

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -40,10 +40,12 @@
   return it == environment->services.end() ? 0 : it->second.connection_limit;
 }
 
-sql::service_role connection_pool::role_in(const service_id& service) const {
-  const auto rank = monitor_rank(service, context_.shared, context_.settings.vm);
-  if (!rank) return sql::service_role::other;
-  return *rank == 0 ? sql::service_role::owner : sql::service_role::monitor;
+sql::service_role connection_pool::role_for_target(const service_id& service, const target_id& target) const {
+  const auto directory = context_.shared.services.find(service);
+  if (directory == context_.shared.services.end()) return sql::service_role::other;
+  const auto* entry = directory->second.find(target);
+  if (entry == nullptr) return sql::service_role::other;
+  return role_for(entry->info, context_.shared, context_.settings.vm);
 }
 
 const connection_pool::target_pool* connection_pool::find(const target_id& target) const {
@@ -149,7 +151,7 @@
         return each->customer == customer && each->use != connection_use::pinned;
       }));
   if (held >= max_useful) return false;
-  if (pool.all.size() >= sql::connection_share(target_limit(service), role_in(service)) &&
+  if (pool.all.size() >= sql::connection_share(target_limit(service), role_for_target(service, target)) &&
       !evict_idle(pool, held))
     return false;
   auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
@@ -232,7 +234,8 @@
   for (const auto& [target, pool] : pools_) {
     if (pool.all.empty()) continue;
     const auto& service = pool.all.front()->service;
-    const auto idle_share = sql::idle_connection_share(target_limit(service), role_in(service));
+    const auto idle_share =
+        sql::idle_connection_share(target_limit(service), role_for_target(service, target));
     for (const auto& each : pool.all) {
       if (each->batch_deadline && *each->batch_deadline <= now) timed_out.push_back(each);
       if (each->use != connection_use::idle) continue;
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -100,7 +100,8 @@
 
   /// @return connections that each target of the service accepts from all VMs together.
   [[nodiscard]] std::size_t target_limit(const service_id& service) const;
-  [[nodiscard]] sql::service_role role_in(const service_id& service) const;
+  /// @return what this VM does for the target; that of no role if the target is not listed.
+  [[nodiscard]] sql::service_role role_for_target(const service_id& service, const target_id& target) const;
   [[nodiscard]] const target_pool* find(const target_id& target) const;
   /// Changes the use of a connection and updates the counts and the index of idle connections.
   void set_use(const connection_ptr& connection, connection_use use);
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -5,16 +5,19 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <span>
 #include <vector>
 
 #include "base/metrics.h"
 #include "entry/drain_schedule.h"
 #include "entry/entry_settings.h"
 #include "fleet/confirmation_monitor.h"
+#include "fleet/gateway_table.h"
 #include "fleet/membership_controller.h"
 #include "fleet/ownership_table.h"
 #include "net/event_loop.h"
 #include "platform/documents.h"
+#include "sql/connection_share.h"
 #include "sql/environment.h"
 #include "sql/target_directory.h"
 
@@ -35,27 +38,40 @@
   std::map<vm_id, platform::vm_record> vms;              ///< `store_adapter`.
   std::vector<member> members;                           ///< `membership_adapter`.
   ownership_table ownership;                             ///< `entry_daemon`; covers the configured services.
-  bool is_target_list_trusted = false;                   ///< `store_adapter`.
-  drain_phase drain = drain_phase::none;                 ///< `entry_daemon`.
+  gateway_table gateways;                                ///< `entry_daemon`; covers the configured services.
+  /// `statement_runner`; data centre of the last known primary of each service.
+  std::map<service_id, data_centre_id> primary_data_centres;
+  bool is_target_list_trusted = false;      ///< `store_adapter`.
+  drain_phase drain = drain_phase::none;    ///< `entry_daemon`.
   std::optional<time_point> last_deadline;  ///< `entry_daemon`; latest deadline of a statement of a session.
 };
 
-/// @return the VM that holds the target connections of a service; nothing if no VM can own it.
-[[nodiscard]] inline std::optional<vm_id> owner_of(const service_id& service, const shared_state& shared) {
-  return shared.ownership.owner(service);
-}
-
-/// Number of VMs that monitor the primary of a service and may start a failover: the owner and the
-/// VMs that follow it in the order of owners, in case the owner cannot reach the store.
+/// Number of VMs that monitor the primary of a service and may start a failover, in case one of them
+/// cannot reach the store.
 inline constexpr std::size_t monitors_per_service = 3;
 
-/// @return the rank of VM `self` in the order of owners of a service, 0 for the owner; nothing if
-///   that VM does not monitor the primary of the service.
-[[nodiscard]] inline std::optional<std::size_t> monitor_rank(const service_id& service,
-                                                             const shared_state& shared, const vm_id& self) {
-  const auto rank = shared.ownership.rank(service, self);
-  return rank && *rank < monitors_per_service ? rank : std::nullopt;
-}
+/// @return the data centres with targets of a service, that of the primary or the last known one first.
+[[nodiscard]] std::vector<data_centre_id> data_centres_of(const service_id& service,
+                                                          const shared_state& shared);
+
+/// @return the VM that holds the connections to the targets of a service in a data centre: its gateway
+///   there, or the owner of the service if the data centre has none.
+[[nodiscard]] std::optional<vm_id> holder_of(const service_id& service, const data_centre_id& data_centre,
+                                             const shared_state& shared, std::span<const vm_id> failed = {});
+
+/// @return the VMs that monitor the primary of a service, in the order in which they start a failover.
+///   With gateways these are the gateways, that of the primary's data centre first, because their
+///   statements show first that the primary is lost.
+[[nodiscard]] std::vector<vm_id> monitors_of(const service_id& service, const shared_state& shared);
+
+/// @return the rank of VM `self` among the monitors of a service, 0 for the first; nothing if that VM does
+///   not monitor the primary of the service.
+[[nodiscard]] std::optional<std::size_t> monitor_rank(const service_id& service, const shared_state& shared,
+                                                      const vm_id& self);
+
+/// @return what VM `self` does for a target.
+[[nodiscard]] sql::service_role role_for(const sql::target_announcement& target, const shared_state& shared,
+                                         const vm_id& self);
 
 struct entry_context {
   entry_context(entry_settings values, incarnation_id start, std::uint64_t seed)
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -28,7 +28,7 @@
 
 store_adapter::observer make_store_observer(
     entry_context& context, budget_adapter& budgets, membership_adapter& membership, statement_runner& runner,
-    std::function<void()> on_environment,
+    std::function<void()> on_environment, std::function<void()> on_vms,
     std::function<void(const platform::promotion_record&)> on_promotion) {
   store_adapter::observer observer;
   observer.on_environment = [&budgets, &runner, on_environment = std::move(on_environment)] {
@@ -37,7 +37,8 @@
     runner.dispatch_all();
   };
   observer.on_targets = [&runner](const service_id& service) { runner.dispatch(service); };
-  observer.on_vms = [&context, &budgets, &membership] {
+  observer.on_vms = [&context, &budgets, &membership, on_vms = std::move(on_vms)] {
+    on_vms();
     membership.update_seeds();
     context.counters.gauge("vms").set(static_cast<double>(context.shared.vms.size()));
     budgets.configure();
@@ -68,6 +69,7 @@
                    for (const auto& [key, each] : sessions_) all.push_back(key);
                    for (auto* each : all) each->on_configuration();
                  },
+                 [this] { update_ownership(); },
                  [this](const platform::promotion_record& record) { failover_.on_promotion_seen(record); })),
       failover_(context, runner_, store_),
       caller_listener_(context.loop, [this](int handle) { accept(handle); }),
@@ -142,11 +144,24 @@
 }
 
 void entry_daemon::update_ownership() {
+  auto& shared = context_.shared;
   std::vector<service_id> services;
-  if (context_.shared.environment) {
-    for (const auto& [service, options] : context_.shared.environment->services) services.push_back(service);
+  if (shared.environment) {
+    for (const auto& [service, options] : shared.environment->services) services.push_back(service);
   }
-  context_.shared.ownership = ownership_table::build(std::move(services), context_.shared.members);
+  std::map<vm_id, listed_vm> listed;
+  std::map<vm_id, vm_resources> resources;
+  for (const auto& [vm, record] : shared.vms) {
+    const vm_resources known{record.cores, record.link_mbps};
+    listed.emplace(vm, listed_vm{record.data_centre, known});
+    resources.emplace(vm, known);
+  }
+  auto gateways = gateway_table::build(services, listed, shared.members);
+  if (gateways.is_in_use() != shared.gateways.is_in_use()) {
+    log_info("gateways_changed", {{"in_use", gateways.is_in_use()}, {"vms", std::uint64_t{listed.size()}}});
+  }
+  shared.gateways = std::move(gateways);
+  shared.ownership = ownership_table::build(std::move(services), shared.members, resources);
 }
 
 void entry_daemon::on_members() {
--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
+#include "fleet/gateway_table.h"
 #include "standins/session_documents.h"
 
 namespace bulrushlift::entry {
@@ -111,6 +112,11 @@
       configuration_document(version, "ledger", {{"shop", shop_keys}, {"other", {"key-other"}}}));
 }
 
+std::string session_deployment::data_centre_of(std::size_t vm) const {
+  const bool has_gateways = ports_.size() >= 2 * gateway_table::min_listed_vms;
+  return vm == 0 || (has_gateways && vm % 2 == 0) ? "north" : "south";
+}
+
 void session_deployment::start_vm(std::size_t vm) {
   const auto& ports = ports_.at(vm);
   const auto address = [](std::uint16_t port) { return fmt::format("127.0.0.1:{}", port); };
@@ -131,7 +137,7 @@
     }
   }
   const proxy_description proxy{fmt::format("entry-{}", vm),
-                                vm == 0 ? "north" : "south",
+                                data_centre_of(vm),
                                 address(ports.callers),
                                 address(ports.readiness),
                                 address(ports.peers),
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -101,6 +101,8 @@
   void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
 
   [[nodiscard]] std::string address_of(const std::string& target) const;
+  /// @return "north" for VM 0, and for all with even numbers if there are enough for gateways; else "south".
+  [[nodiscard]] std::string data_centre_of(std::size_t vm) const;
 
   std::string folder_;
   std::map<std::string, std::unique_ptr<fault_proxy>> target_proxies_;
--- a/packages/entry/statement_maintenance.cc
+++ b/packages/entry/statement_maintenance.cc
@@ -77,8 +77,8 @@
   const auto now = context_.loop.now();
   for (const auto& [service, directory] : context_.shared.services) {
     const auto* primary_entry = directory.primary();
-    log_primary_change(service, primary_entry);
-    if (!monitor_rank(service, context_.shared, context_.settings.vm)) continue;
+    record_primary(service, primary_entry);
+    if (!needs_samples(service)) continue;
     if (primary_entry == nullptr) {
       for (const auto& [id, entry] : directory.targets()) probe(service, id);
       continue;
@@ -89,7 +89,19 @@
   }
 }
 
-void statement_runner::log_primary_change(const service_id& service, const sql::target_entry* primary_entry) {
+bool statement_runner::needs_samples(const service_id& service) const {
+  const auto& shared = context_.shared;
+  const auto& self = context_.settings.vm;
+  if (monitor_rank(service, shared, self)) return true;
+  const auto data_centres = data_centres_of(service, shared);
+  return std::any_of(data_centres.begin(), data_centres.end(),
+                     [&](const data_centre_id& each) { return holder_of(service, each, shared) == self; });
+}
+
+void statement_runner::record_primary(const service_id& service, const sql::target_entry* primary_entry) {
+  if (primary_entry != nullptr) {
+    context_.shared.primary_data_centres[service] = primary_entry->info.data_centre;
+  }
   auto& logged = logged_primaries_[service];
   const auto target = primary_entry == nullptr ? target_id{} : primary_entry->info.target;
   if (logged == target) return;
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -20,7 +20,7 @@
 constexpr duration unreachable_period = milliseconds{500};
 
 // Relays of one statement, including the first.
-constexpr std::uint32_t max_relays = 3;
+constexpr std::uint32_t max_relays = 4;
 
 // The VM of the session ends a transaction at the idle limit. If a transaction of another VM stays
 // idle for this much longer, that VM has lost the session.
@@ -43,13 +43,63 @@
   });
 }
 
-std::optional<vm_id> statement_router::choose_owner(const service_id& service) const {
+std::vector<vm_id> statement_router::unreachable_vms() const {
   const auto now = context_.loop.now();
   std::vector<vm_id> failed;
   for (const auto& [vm, until] : unreachable_until_) {
     if (until > now) failed.push_back(vm);
   }
-  return context_.shared.ownership.first_except(service, failed);
+  return failed;
+}
+
+std::vector<data_centre_id> statement_router::placement_order(const work_item& item) const {
+  const auto& service = item.route->service;
+  auto order = data_centres_of(service, context_.shared);
+  if (order.empty()) return order;
+  if (item.is_for_primary()) {
+    // Nothing is known about the primary before the first one is announced.
+    const bool is_known = context_.shared.primary_data_centres.contains(service);
+    order.resize(is_known ? 1 : 0);
+    return order;
+  }
+  // The own data centre, then those with replicas, then that of the primary.
+  std::rotate(order.begin(), order.begin() + 1, order.end());
+  const auto own = std::find(order.begin(), order.end(), context_.settings.data_centre);
+  if (own != order.end()) std::rotate(order.begin(), own, own + 1);
+  return order;
+}
+
+std::optional<vm_id> statement_router::place(const work_ptr& item) const {
+  const auto failed = unreachable_vms();
+  item->data_centre.reset();
+  if (context_.shared.gateways.is_in_use()) {
+    for (const auto& centre : placement_order(*item)) {
+      if (std::find(item->tried_data_centres.begin(), item->tried_data_centres.end(), centre) !=
+          item->tried_data_centres.end())
+        continue;
+      item->data_centre = centre;
+      return holder_of(item->route->service, centre, context_.shared, failed);
+    }
+  }
+  return context_.shared.ownership.first_except(item->route->service, failed);
+}
+
+void statement_router::on_moved(const work_ptr& item, const data_centre_id& suggested) {
+  if (item->is_cancelled) return;
+  if (item->relays >= max_relays || context_.loop.now() >= item->deadline) {
+    fail(item, item->is_in_transaction() ? caller_error::aborted : caller_error::busy,
+         "no data centre can run it now");
+    return;
+  }
+  if (item->data_centre) item->tried_data_centres.push_back(*item->data_centre);
+  const bool is_tried = std::find(item->tried_data_centres.begin(), item->tried_data_centres.end(),
+                                  suggested) != item->tried_data_centres.end();
+  if (suggested.empty() || is_tried) {
+    run(item);
+    return;
+  }
+  item->data_centre = suggested;
+  send(item, holder_of(item->route->service, suggested, context_.shared, unreachable_vms()));
 }
 
 void statement_router::run(const work_ptr& item) {
@@ -61,12 +111,22 @@
     relay(item, item->pinned.owner);
     return;
   }
-  const auto owner = choose_owner(item->route->service);
-  if (!owner || *owner == context_.settings.vm) {
-    runner_.run(item);
-  } else {
-    relay(item, *owner);
+  send(item, place(item));
+}
+
+void statement_router::send(const work_ptr& item, const std::optional<vm_id>& vm) {
+  if (vm && *vm != context_.settings.vm) {
+    relay(item, *vm);
+    return;
+  }
+  item->moved = nullptr;
+  if (item->data_centre) {
+    item->moved = [this, weak = std::weak_ptr{item}](const work_result& result) {
+      if (const auto moved = weak.lock()) on_moved(moved, *result.other_data_centre);
+    };
+    ++item->relays;
   }
+  runner_.run(item);
 }
 
 void statement_router::cancel(const work_ptr& item) {
@@ -117,6 +177,10 @@
     roll_back(value.transaction);
     return;
   }
+  if (value.error && value.other_data_centre) {
+    on_moved(item, *value.other_data_centre);
+    return;
+  }
   finish(item, value);
 }
 
@@ -187,6 +251,7 @@
     --relayed_statements_;
     on_relayed_result(to, reply_deadline, value);
   };
+  if ((*item)->data_centre && !wire.__isset.transaction) (*item)->moved = (*item)->done;
   ++relayed_statements_;
   runner_.run(*item);
 }
--- a/packages/entry/statement_router.h
+++ b/packages/entry/statement_router.h
@@ -53,7 +53,16 @@
     peer_responder respond;
   };
 
-  [[nodiscard]] std::optional<vm_id> choose_owner(const service_id& service) const;
+  [[nodiscard]] std::vector<vm_id> unreachable_vms() const;
+  /// Chooses the VM that runs a statement, and the data centre whose targets it is to use.
+  /// @return nothing if no VM can run it.
+  [[nodiscard]] std::optional<vm_id> place(const work_ptr& item) const;
+  /// @return the data centres whose targets may run the statement, best first.
+  [[nodiscard]] std::vector<data_centre_id> placement_order(const work_item& item) const;
+  /// Runs the statement in another data centre than the one that could not run it.
+  void on_moved(const work_ptr& item, const data_centre_id& suggested);
+  /// Sends the statement to the VM that `place` chose; runs it here if that is this VM or there is none.
+  void send(const work_ptr& item, const std::optional<vm_id>& vm);
   void relay(const work_ptr& item, const vm_id& owner);
   void on_reply(const work_ptr& item, const vm_id& owner, const result<peer::envelope_t>& reply);
   void on_relay_failed(const work_ptr& item, const vm_id& owner, const error& failure);
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -127,6 +127,13 @@
   const auto required = required_point(*item);
   auto candidates = directory->second.candidates({required, context_.settings.data_centre}, now);
   if (item->excluded_target && candidates.size() > 1) std::erase(candidates, *item->excluded_target);
+  if (item->moved && is_better_elsewhere(*item, candidates)) {
+    move_elsewhere(item, candidates);
+    return true;
+  }
+  if (item->data_centre) {
+    std::erase_if(candidates, [&](const target_id& target) { return !is_in_data_centre(*item, target); });
+  }
   // A target whose slots are all in use needs no further connection.
   std::erase_if(candidates, [&](const target_id& target) {
     const auto* entry = directory->second.find(target);
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -100,7 +100,20 @@
   /// Logs queue lengths and connection counts of the services that have waiting statements, once
   /// per second.
   void report_load();
-  void log_primary_change(const service_id& service, const sql::target_entry* primary_entry);
+  /// @return whether this VM runs reads on a target of the service or monitors its primary, and so needs to
+  ///   know the position of the primary's log.
+  [[nodiscard]] bool needs_samples(const service_id& service) const;
+  /// Keeps the data centre of the primary, and logs a change of the primary.
+  void record_primary(const service_id& service, const sql::target_entry* primary_entry);
+  /// @return whether the target is in the data centre that the statement was sent to.
+  [[nodiscard]] bool is_in_data_centre(const work_item& item, const target_id& target) const;
+  /// @return whether the statement should run in another data centre than the one that it was sent to: no
+  ///   target can run it here, or only the primary, whose slots other work needs.
+  /// @param candidates targets that can run it, in any data centre.
+  [[nodiscard]] bool is_better_elsewhere(const work_item& item,
+                                         const std::vector<target_id>& candidates) const;
+  /// Hands the statement back to the VM of the session, which chooses another data centre.
+  void move_elsewhere(const work_ptr& item, const std::vector<target_id>& candidates);
   void probe(const service_id& service, const target_id& target);
 
   entry_context& context_;
--- a/packages/entry/statement_wire.cc
+++ b/packages/entry/statement_wire.cc
@@ -98,6 +98,7 @@
   }
   if (item.session->own_commit) wire.__set_own_commit(encode_point(*item.session->own_commit));
   wire.deadline_ms = to_milliseconds(remaining);
+  if (item.data_centre) wire.__set_data_centre(item.data_centre->str());
   return wire;
 }
 
@@ -122,6 +123,7 @@
   if (wire.__isset.prepared) item->prepared = {wire.prepared.is_write, wire.prepared.shape};
   item->arrived = now;
   item->deadline = now + milliseconds{wire.deadline_ms};
+  if (wire.__isset.data_centre) item->data_centre = data_centre_id{wire.data_centre};
   return item;
 }
 
@@ -133,6 +135,8 @@
   wire.signature = value.reply.signature;
   if (value.reply.point) wire.__set_point(encode_point(*value.reply.point));
   if (transaction != 0) wire.__set_transaction(to_signed(transaction));
+  if (value.other_data_centre) wire.__set_other_data_centre(value.other_data_centre->str());
+  if (value.expected_wait) wire.__set_expected_wait_ms(to_milliseconds(*value.expected_wait));
   return wire;
 }
 
@@ -151,6 +155,10 @@
     value.transaction.owner = owner;
     value.transaction.number = to_unsigned(wire.transaction);
   }
+  if (wire.__isset.other_data_centre) value.other_data_centre = data_centre_id{wire.other_data_centre};
+  if (wire.__isset.expected_wait_ms && wire.expected_wait_ms >= 0) {
+    value.expected_wait = milliseconds{wire.expected_wait_ms};
+  }
   return value;
 }
 
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -224,8 +224,9 @@
 }
 
 void store_adapter::announce_self() {
-  const platform::vm_record self{context_.settings.vm, context_.settings.peer_listen.str(),
-                                 context_.settings.data_centre, context_.incarnation};
+  const platform::vm_record self{
+      context_.settings.vm, context_.settings.peer_listen.str(), context_.settings.data_centre,
+      context_.incarnation, context_.settings.capacity.cores,    context_.settings.capacity.link_mbps};
   const auto stored = vms_.version_of(self.vm.str());
   const auto known = context_.shared.vms.find(self.vm);
   // A record that the store lost is still known here for a while.
--- a/packages/entry/work_item.h
+++ b/packages/entry/work_item.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "entry/connection_pool.h"
 #include "sql/environment.h"
@@ -29,7 +30,11 @@
 /// Result of a statement.
 struct work_result {
   std::optional<sql::caller_error> error = std::nullopt;
-  std::string reason = {};            ///< Reason of the error, for the caller and the log.
+  /// Set with an error if no target of the requested data centre can run the statement now: another one
+  /// that may, or an empty name if none is known. The statement has not run.
+  std::optional<data_centre_id> other_data_centre = std::nullopt;
+  std::string reason = {};                               ///< Reason of the error, for the caller and the log.
+  std::optional<duration> expected_wait = std::nullopt;  ///< Wait of a like statement at the VM that ran it.
   sql::target_reply reply = {};       ///< Rows, signature and log point; set if there is no error.
   open_transaction transaction = {};  ///< The transaction if it is open after the statement.
 };
@@ -51,11 +56,17 @@
   time_point arrived{};
   time_point deadline{};
   callback done;
+  /// Data centre whose targets may run the statement; all of the service if it is not set.
+  std::optional<data_centre_id> data_centre = std::nullopt;
+  /// Called in place of `done` when no target of `data_centre` can run the statement now, with a result
+  /// that has `other_data_centre` set. If it is empty, the statement waits for a target there.
+  callback moved;
 
   // Progress, written by `statement_router` and `statement_runner`.
   std::uint64_t start_tag = 0;  ///< Position in fair queueing among the customers; 0 if not assigned.
   time_point wait_end{};        ///< When the statement is refused if it still waits for a slot.
   std::uint32_t relays = 0;
+  std::vector<data_centre_id> tried_data_centres;  ///< Those that could not run the statement.
   std::uint32_t attempts = 0;
   time_point not_before{};                                  ///< Earliest time of the next attempt.
   std::optional<target_id> excluded_target = std::nullopt;  ///< Target of the last failed attempt.
--- a/packages/fleet/ownership_table.cc
+++ b/packages/fleet/ownership_table.cc
@@ -1,32 +1,22 @@
 #include "fleet/ownership_table.h"
 
 #include <algorithm>
-#include <utility>
-
-#include "base/hash.h"
-
 namespace bulrushlift {
 
-ownership_table ownership_table::build(std::vector<service_id> services, std::span<const member> members) {
-  std::vector<vm_id> vms;
+ownership_table ownership_table::build(std::vector<service_id> services, std::span<const member> members,
+                                       const std::map<vm_id, vm_resources>& resources) {
+  std::map<vm_id, vm_resources> serving;
   for (const auto& each : members) {
-    if (is_serving(each.state)) vms.push_back(each.vm);
+    if (!is_serving(each.state)) continue;
+    const auto it = resources.find(each.vm);
+    serving.emplace(each.vm, it == resources.end() ? vm_resources{} : it->second);
   }
-  ownership_table table;
-  if (vms.empty()) return table;
   std::sort(services.begin(), services.end());
-  const std::size_t max_owned = (services.size() + vms.size() - 1) / vms.size();
-  std::map<vm_id, std::size_t> owned;
-  for (const auto& service : services) {
-    auto order = rendezvous_choose(service.str(), vms, vms.size());
-    const auto owner =
-        std::find_if(order.begin(), order.end(), [&](const vm_id& vm) { return owned[vm] < max_owned; });
-    ++owned[*owner];
-    // Moves the owner to the front; the others keep their order.
-    std::rotate(order.begin(), owner, owner + 1);
-    if (order.size() > depth) order.resize(depth);
-    table.order_.emplace(service, std::move(order));
-  }
+  std::vector<std::string> keys;
+  keys.reserve(services.size());
+  for (const auto& each : services) keys.push_back(each.str());
+  ownership_table table;
+  table.order_ = assign_by_capacity(keys, weigh(serving), depth);
   return table;
 }
 
@@ -35,7 +25,7 @@
 }
 
 std::optional<std::size_t> ownership_table::rank(const service_id& service, const vm_id& vm) const {
-  const auto it = order_.find(service);
+  const auto it = order_.find(service.str());
   if (it == order_.end()) return std::nullopt;
   const auto position = std::find(it->second.begin(), it->second.end(), vm);
   if (position == it->second.end()) return std::nullopt;
@@ -44,7 +34,7 @@
 
 std::optional<vm_id> ownership_table::first_except(const service_id& service,
                                                    std::span<const vm_id> failed) const {
-  const auto it = order_.find(service);
+  const auto it = order_.find(service.str());
   if (it == order_.end()) return std::nullopt;
   const auto position = std::find_if(it->second.begin(), it->second.end(), [&](const vm_id& vm) {
     return std::find(failed.begin(), failed.end(), vm) == failed.end();
--- a/packages/fleet/ownership_table.h
+++ b/packages/fleet/ownership_table.h
@@ -4,10 +4,12 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "base/ids.h"
 #include "fleet/membership_controller.h"
+#include "fleet/owner_assignment.h"
 
 /// @file
 /// The owner of each service and the VMs that follow it, computed once for each change of the
@@ -15,7 +17,8 @@
 ///
 /// Load pattern: few services on many small VMs. With rendezvous weights alone, one of 30 VMs
 /// can own three of eight services, and its processor limits all three. In this table no VM
-/// owns more than an even share of the services, rounded up.
+/// owns more than its share of the services, rounded up: an even one, or one in proportion to the
+/// capacities that the VMs announce.
 ///
 ///     const auto table = ownership_table::build(services, members);
 ///     if (table.rank(service, self) == 0) { /* this VM is the owner */ }
@@ -33,8 +36,10 @@
   /// Computes the table. Equal sets of services and members give equal tables on all VMs.
   /// @param services in any order.
   /// @param members in any order; leaving and dead ones are ignored.
+  /// @param resources what the VMs announced; VMs that are missing count as of unknown capacity.
   [[nodiscard]] static ownership_table build(std::vector<service_id> services,
-                                             std::span<const member> members);
+                                             std::span<const member> members,
+                                             const std::map<vm_id, vm_resources>& resources = {});
 
   /// @return the owner of a service, or nothing if the service is unknown or no member serves.
   [[nodiscard]] std::optional<vm_id> owner(const service_id& service) const;
@@ -50,7 +55,7 @@
   friend bool operator==(const ownership_table&, const ownership_table&) = default;
 
  private:
-  std::map<service_id, std::vector<vm_id>> order_;  ///< At most `depth` VMs for each service.
+  std::map<std::string, std::vector<vm_id>> order_;  ///< At most `depth` VMs for each service.
 };
 
 }  // namespace bulrushlift
--- a/packages/peer_protocol/peer.thrift
+++ b/packages/peer_protocol/peer.thrift
@@ -161,6 +161,8 @@
   8: optional prepared_statement_t prepared
   9: optional log_point_t own_commit
   10: required i64 deadline_ms
+  /** Only targets in this data centre may run the statement; all of the service if it is not set. */
+  11: optional string data_centre
 }
 
 struct statement_reply_t {
@@ -172,6 +174,13 @@
   5: optional log_point_t point
   /** Number of the transaction that is open after the statement. */
   6: optional i64 transaction
+  /**
+   * Set with an error if no target of the data centre can run the statement now: another data centre
+   * that may, or empty if none is known.
+   */
+  7: optional string other_data_centre
+  /** How long a statement like this one would wait at the sender now. */
+  8: optional i64 expected_wait_ms
 }
 
 /** Rolls back an open transaction, with the caller's own statement if it sent one. */
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -98,6 +98,13 @@
   return {};
 }
 
+/// @return the field if it is a number of at least 0, else 0.
+double number_or_zero(const json& object, const char* name) {
+  const auto it = object.find(name);
+  if (it == object.end() || !it->is_number()) return 0;
+  return std::max(it->get<double>(), 0.0);
+}
+
 std::optional<sql::consistency> consistency_from(std::string_view word) {
   if (word == "primary") return sql::consistency::primary;
   if (word == "bounded") return sql::consistency::bounded_staleness;
@@ -218,7 +225,9 @@
 json encode_vm(const vm_record& record) {
   return {{"peerAddress", record.peer_address},
           {"dataCentre", record.data_centre.str()},
-          {"incarnation", record.incarnation.value()}};
+          {"incarnation", record.incarnation.value()},
+          {"cores", record.cores},
+          {"linkMbps", record.link_mbps}};
 }
 
 result<vm_record> decode_vm(const stored_object& object) {
@@ -229,6 +238,9 @@
   out.data_centre = data_centre_id{fields.text("dataCentre")};
   out.incarnation = incarnation_id{fields.number("incarnation")};
   if (fields.has_failed()) return fields.failure();
+  // Older builds announce no capacity. A malformed one says nothing, but the VM is there.
+  out.cores = number_or_zero(object.content, "cores");
+  out.link_mbps = number_or_zero(object.content, "linkMbps");
   if (out.incarnation.value() > max_incarnation) {
     return make_error(error_kind::invalid_document,
                       fmt::format("vm.incarnation {} is out of range", out.incarnation.value()));
--- a/packages/platform/documents.h
+++ b/packages/platform/documents.h
@@ -30,6 +30,8 @@
   std::string peer_address;  ///< Where the process listens for its peers.
   data_centre_id data_centre;
   incarnation_id incarnation;
+  double cores = 0;      ///< Cores that the process may keep busy; 0 if it is not known.
+  double link_mbps = 0;  ///< Bandwidth of the VM's link in Mbit/s; 0 if it is not known.
 
   friend bool operator==(const vm_record&, const vm_record&) = default;
 };
