--- a/packages/sql/start_tag_allocator.cc
+++ b/packages/sql/start_tag_allocator.cc
@@ -5,10 +5,15 @@
 namespace bulrushlift::sql {
 
 std::uint64_t start_tag_allocator::allocate(const customer_id& customer) {
+  const auto tag = peek(customer);
+  last_[customer] = tag;
+  return tag;
+}
+
+std::uint64_t start_tag_allocator::peek(const customer_id& customer) const {
+  const auto it = last_.find(customer);
   // A customer gains no credit for the time in which it had no waiting statements.
-  auto& last = last_[customer];
-  last = std::max(last, virtual_time_) + 1;
-  return last;
+  return (it == last_.end() ? virtual_time_ : std::max(it->second, virtual_time_)) + 1;
 }
 
 void start_tag_allocator::on_served(std::uint64_t tag) {
--- a/packages/sql/start_tag_allocator.h
+++ b/packages/sql/start_tag_allocator.h
@@ -23,6 +23,9 @@
   /// @return the start tag of a statement of the customer that begins to wait.
   [[nodiscard]] std::uint64_t allocate(const customer_id& customer);
 
+  /// @return the tag that `allocate` would return, for a statement that may still be refused.
+  [[nodiscard]] std::uint64_t peek(const customer_id& customer) const;
+
   /// Call when the statement with that tag gets a slot.
   void on_served(std::uint64_t tag);
 
