Hold connections by quota and admit statements by predicted wait

Cause: 31 of 70 connections of a target for 71 customers, and refusals only after half of the objective. A connection limit above a million in the configuration counts as a million instead of losing its upper bits.

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -21,23 +21,28 @@
 // Idle connections are closed after this time, before the platform closes them.
 constexpr duration idle_lifetime = seconds{40};
 
-// Idle connections beyond the limit, such as those of a former owner, are closed after this time.
-constexpr duration surplus_idle_time = milliseconds{100};
-
 // Pause before another connection is opened to a target that refused one as busy or at its
 // connection limit.
 constexpr duration connection_limit_pause = milliseconds{150};
 
+// Weight, as a divisor, of the newest opening in the mean opening time of a target.
+constexpr int opening_time_weight = 8;
+
+// A transaction whose connection is unused for this long counts as resting. Longer than a client
+// in the same region takes to send the next statement.
+constexpr duration rest_time = milliseconds{250};
+
 }  // namespace
 
 connection_pool::connection_pool(entry_context& context, change_callback on_change)
     : context_(context), on_change_(std::move(on_change)) {}
 
-std::size_t connection_pool::target_limit(const service_id& service) const {
+sql::quota_terms connection_pool::quota_terms(const service_id& service) const {
   const auto& environment = context_.shared.environment;
-  if (!environment) return 0;
+  if (!environment) return {};
   const auto it = environment->services.find(service);
-  return it == environment->services.end() ? 0 : it->second.connection_limit;
+  if (it == environment->services.end()) return {};
+  return {it->second.connection_limit, environment->customers.size()};
 }
 
 sql::service_role connection_pool::role_in(const service_id& service) const {
@@ -108,29 +113,50 @@
       }));
 }
 
-bool connection_pool::evict_idle(const target_pool& pool, std::size_t held) {
+bool connection_pool::evict_idle(const target_pool& pool, std::size_t held,
+                                 const connection_request& request) {
+  const auto now = context_.loop.now();
   std::map<customer_id, std::size_t> counts;
   for (const auto& each : pool.all) {
     if (each->use != connection_use::pinned) ++counts[each->customer];
   }
-  connection_ptr chosen;
-  for (const auto& [customer, connections] : pool.idle) {
-    // A customer without a connection may evict one of any other customer; otherwise only
-    // customers that have at least two connections more than this one are considered.
-    if (held > 0 && counts[customer] <= held + 1) continue;
-    for (const auto& each : connections) {
-      const bool is_better = !chosen || std::pair{counts[customer], chosen->use_start} >
-                                            std::pair{counts[chosen->customer], each->use_start};
-      if (is_better) chosen = each;
+  std::vector<connection_ptr> connections;
+  std::vector<sql::idle_connection> idle;
+  for (const auto& [customer, each_idle] : pool.idle) {
+    const auto demand = pool.demand.of(customer, now);
+    for (const auto& each : each_idle) {
+      connections.push_back(each);
+      idle.push_back({customer, each->use_start, counts[customer], demand});
     }
   }
+  const auto chosen =
+      sql::choose_eviction(idle, {held, request.is_urgent, request.can_wait, pool.opening_time}, now);
   if (!chosen) return false;
-  remove(chosen);
+  context_.counters.counter("target_connections_evicted_total").add();
+  remove(connections[*chosen]);
   return true;
 }
 
+bool connection_pool::may_begin_transaction(const target_id& target, const customer_id& customer) const {
+  const auto* pool = find(target);
+  if (pool == nullptr || pool->all.empty()) return true;
+  const auto now = context_.loop.now();
+  const auto quota = pool->quota.allowed(quota_terms(pool->all.front()->service), now);
+  if (pool->all.size() < quota) return true;
+  std::map<customer_id, std::size_t> counts;
+  sql::resting_transactions resting;
+  for (const auto& each : pool->all) {
+    if (each->use != connection_use::pinned || each->io.is_busy() || now - each->use_start < rest_time)
+      continue;
+    ++resting.total;
+    resting.most_of_one = std::max(resting.most_of_one, ++counts[each->customer]);
+  }
+  resting.of_customer = counts[customer];
+  return sql::may_begin_transaction(resting, pool->all.size(), quota);
+}
+
 bool connection_pool::open(const service_id& service, const target_id& target, const customer_id& customer,
-                           std::size_t max_useful) {
+                           const connection_request& request) {
   const auto directory = context_.shared.services.find(service);
   if (directory == context_.shared.services.end()) return false;
   const auto* entry = directory->second.find(target);
@@ -148,10 +174,10 @@
       std::count_if(pool.all.begin(), pool.all.end(), [&](const connection_ptr& each) {
         return each->customer == customer && each->use != connection_use::pinned;
       }));
-  if (held >= max_useful) return false;
-  if (pool.all.size() >= sql::connection_share(target_limit(service), role_in(service)) &&
-      !evict_idle(pool, held))
-    return false;
+  if (held >= request.max_useful) return false;
+  pool.quota.set_role(role_in(service), now);
+  const auto quota = pool.quota.allowed(quota_terms(service), now);
+  if (pool.all.size() >= quota && !evict_idle(pool, held, request)) return false;
   auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
   connection->use_start = now;
   connection->batch_deadline = now + open_timeout;
@@ -165,36 +191,60 @@
 }
 
 void connection_pool::on_opened(const connection_ptr& connection, std::optional<sql::target_error> failure) {
-  const auto now = context_.loop.now();
-  auto& directory = context_.shared.services[connection->service];
   connection->batch_deadline.reset();
-  if (!failure) {
-    directory.on_answer(connection->target, std::nullopt, now);
-    set_use(connection, connection_use::idle);
-    connection->io.on_idle_close([this, weak = std::weak_ptr{connection}] {
-      const auto self = weak.lock();
-      if (!self) return;
-      remove(self);
-      on_change_(self->service);
-    });
-    on_change_(connection->service);
-    return;
+  if (failure) {
+    on_refused(connection, *failure);
+  } else {
+    on_accepted(connection);
   }
-  const bool is_at_limit =
-      *failure == sql::target_error::too_many_connections || *failure == sql::target_error::busy;
-  if (is_at_limit) {
-    pools_[connection->target].open_blocked_until = now + connection_limit_pause;
+  on_change_(connection->service);
+}
+
+void connection_pool::on_accepted(const connection_ptr& connection) {
+  const auto now = context_.loop.now();
+  auto& pool = pools_[connection->target];
+  const auto elapsed = now - connection->use_start;
+  pool.opening_time +=
+      (elapsed - pool.opening_time) / (pool.opening_time == duration::zero() ? 1 : opening_time_weight);
+  pool.quota.on_opened(pool.all.size(), quota_terms(connection->service), now);
+  context_.shared.services[connection->service].on_answer(connection->target, std::nullopt, now);
+  set_use(connection, connection_use::idle);
+  connection->io.on_idle_close([this, weak = std::weak_ptr{connection}] {
+    const auto self = weak.lock();
+    if (!self) return;
+    remove(self);
+    on_change_(self->service);
+  });
+}
+
+void connection_pool::on_refused(const connection_ptr& connection, sql::target_error reason) {
+  const auto now = context_.loop.now();
+  auto& pool = pools_[connection->target];
+  const auto held = pool.all.empty() ? 0 : pool.all.size() - 1;
+  const bool is_at_limit = reason == sql::target_error::too_many_connections;
+  if (is_at_limit) pool.quota.on_refused(held, now);
+  if (is_at_limit || reason == sql::target_error::busy) {
+    pool.open_blocked_until = now + connection_limit_pause;
   } else {
-    directory.on_failure(connection->target, now);
+    context_.shared.services[connection->service].on_failure(connection->target, now);
   }
+  const auto terms = quota_terms(connection->service);
+  context_.counters
+      .counter("target_connections_refused_total", {{"reason", std::string{sql::name_of(reason)}}})
+      .add();
   log_info("target_connection_failed", {{"target", connection->target.str()},
                                         {"service", connection->service.str()},
-                                        {"reason", sql::name_of(*failure)}});
+                                        {"reason", sql::name_of(reason)},
+                                        {"held", std::uint64_t{held}},
+                                        {"quota", std::uint64_t{pool.quota.allowed(terms, now)}},
+                                        {"limit", std::uint64_t{terms.limit}}});
   remove(connection);
-  on_change_(connection->service);
 }
 
-void connection_pool::take(const connection_ptr& connection, connection_use use) { set_use(connection, use); }
+void connection_pool::take(const connection_ptr& connection, connection_use use) {
+  pools_[connection->target].demand.on_used(connection->customer, context_.loop.now());
+  set_use(connection, use);
+}
 
 void connection_pool::release(const connection_ptr& connection) {
   connection->batch_deadline.reset();
@@ -229,14 +279,16 @@
   const auto now = context_.loop.now();
   std::vector<connection_ptr> timed_out;
   std::vector<connection_ptr> expired;
-  for (const auto& [target, pool] : pools_) {
+  for (auto& [target, pool] : pools_) {
     if (pool.all.empty()) continue;
     const auto& service = pool.all.front()->service;
-    const auto idle_share = sql::idle_connection_share(target_limit(service), role_in(service));
+    pool.quota.set_role(role_in(service), now);
+    const auto allowed_idle = pool.quota.allowed_idle(quota_terms(service), now);
+    const auto surplus_idle_time = pool.quota.surplus_idle_time(now);
     for (const auto& each : pool.all) {
       if (each->batch_deadline && *each->batch_deadline <= now) timed_out.push_back(each);
       if (each->use != connection_use::idle) continue;
-      const bool is_surplus = pool.all.size() > idle_share && now - each->use_start >= surplus_idle_time;
+      const bool is_surplus = pool.all.size() > allowed_idle && now - each->use_start >= surplus_idle_time;
       if (is_surplus || now - each->use_start >= idle_lifetime) expired.push_back(each);
     }
   }
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -11,7 +11,8 @@
 
 #include "entry/entry_context.h"
 #include "platform/target_connection.h"
-#include "sql/connection_share.h"
+#include "sql/connection_eviction.h"
+#include "sql/connection_quota.h"
 #include "sql/session_state.h"
 
 /// @file
@@ -43,6 +44,13 @@
   std::optional<time_point> batch_deadline;  ///< When the running batch or opening is aborted.
 };
 
+/// The statement for which a connection is opened.
+struct connection_request {
+  std::size_t max_useful = 1;  ///< Connections outside of transactions that the customer can use at once.
+  bool is_urgent = false;      ///< Its route has the most urgent priority.
+  duration can_wait{};         ///< Time that it may still wait for a connection.
+};
+
 class connection_pool {
  public:
   using connection_ptr = std::shared_ptr<pooled_connection>;
@@ -60,14 +68,15 @@
   /// @return an idle connection to the target, of any customer, or null.
   [[nodiscard]] connection_ptr find_any_idle(const target_id& target) const;
 
-  /// Starts to open a connection if the connection limit allows it. At the limit, closes an idle
-  /// connection to make room: one of any other customer if this customer has none, else one of a
-  /// customer that has more than this one will have. Opening occupies a slot of the target, so
-  /// few connections are opened at a time.
-  /// @param max_useful number of connections outside of transactions that the customer can use at once.
+  /// Starts to open a connection if this VM's quota (`sql::connection_quota`) allows it. At the
+  /// quota, closes an idle connection to make room (`sql::choose_eviction`). Opening occupies a
+  /// slot of the target, so few connections are opened at a time.
   /// @return whether a connection is being opened.
   bool open(const service_id& service, const target_id& target, const customer_id& customer,
-            std::size_t max_useful = 1);
+            const connection_request& request = {});
+
+  /// @return whether the customer may begin another transaction on the target.
+  [[nodiscard]] bool may_begin_transaction(const target_id& target, const customer_id& customer) const;
 
   /// @return the number of connections to the target that are being opened for the customer.
   [[nodiscard]] std::size_t opening(const target_id& target, const customer_id& customer) const;
@@ -96,16 +105,23 @@
     std::map<customer_id, std::vector<connection_ptr>> idle;
     std::array<std::size_t, connection_use_count> counts{};
     time_point open_blocked_until{};  ///< Set while the target refuses connections.
+    sql::connection_quota quota;
+    sql::connection_demand demand;
+    duration opening_time{};  ///< Decaying mean of the time in which a connection is opened.
   };
 
-  /// @return connections that each target of the service accepts from all VMs together.
-  [[nodiscard]] std::size_t target_limit(const service_id& service) const;
+  /// @return what the configuration says about the connections to a target of the service.
+  [[nodiscard]] sql::quota_terms quota_terms(const service_id& service) const;
   [[nodiscard]] sql::service_role role_in(const service_id& service) const;
   [[nodiscard]] const target_pool* find(const target_id& target) const;
   /// Changes the use of a connection and updates the counts and the index of idle connections.
   void set_use(const connection_ptr& connection, connection_use use);
   void drop_from_idle(target_pool& pool, const connection_ptr& connection);
-  bool evict_idle(const target_pool& pool, std::size_t held);
+  /// Closes an idle connection for the request, if one may be closed.
+  /// @param held connections that the customer has outside of transactions.
+  bool evict_idle(const target_pool& pool, std::size_t held, const connection_request& request);
+  void on_accepted(const connection_ptr& connection);
+  void on_refused(const connection_ptr& connection, sql::target_error reason);
   void on_opened(const connection_ptr& connection, std::optional<sql::target_error> failure);
   void remove(const connection_ptr& connection);
   void close_connections_of_removed_targets();
--- a/packages/entry/statement_maintenance.cc
+++ b/packages/entry/statement_maintenance.cc
@@ -1,4 +1,4 @@
-#include <algorithm>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -35,17 +35,15 @@
   if (now - last_load_report_ < load_report_interval) return;
   last_load_report_ = now;
   report_omitted_lines();
-  for (const auto& [service, queue] : waiting_) {
-    const auto& items = queue.items;
-    if (items.empty()) continue;
-    const auto oldest =
-        std::min_element(items.begin(), items.end(),
-                         [](const work_ptr& a, const work_ptr& b) { return a->arrived < b->arrived; });
+  for (const auto& [service, queue] : queues_) {
+    report_waits(service);
+    const auto oldest = queue.waiting.oldest_arrival();
+    if (!oldest) continue;
     for (const auto& [id, entry] : context_.shared.services[service].targets()) {
       log_info("target_load", {{"service", service.str()},
                                {"target", id.str()},
-                               {"waiting", std::uint64_t{items.size()}},
-                               {"oldest_ms", now - (*oldest)->arrived},
+                               {"waiting", std::uint64_t{queue.waiting.size()}},
+                               {"oldest_ms", now - *oldest},
                                {"running", std::uint64_t{entry.running}},
                                {"idle", std::uint64_t{pool_.count(id, connection_use::idle)}},
                                {"busy", std::uint64_t{pool_.count(id, connection_use::busy)}},
@@ -55,19 +53,30 @@
   }
 }
 
+void statement_runner::report_waits(const service_id& service) {
+  const auto& queue = queues_[service];
+  context_.counters.gauge("statements_waiting", {{"service", service.str()}})
+      .set(static_cast<double>(queue.waiting.size()));
+  for (const auto& [priority, is_for_primary] : queue.is_for_primary) {
+    const std::chrono::duration<double> wait{expected_wait(service, priority)};
+    context_.counters
+        .gauge("statement_expected_wait_seconds",
+               {{"service", service.str()}, {"priority", std::to_string(priority)}})
+        .set(wait.count());
+  }
+}
+
 void statement_runner::fail_expired() {
   const auto now = context_.loop.now();
   std::vector<work_ptr> expired;
-  for (auto& [service, queue] : waiting_) {
-    queue.items.remove_if([&](const work_ptr& each) {
-      if (each->wait_end > now) return false;
-      expired.push_back(each);
-      return true;
-    });
+  for (auto& [service, queue] : queues_) {
+    const auto removed = queue.waiting.take_expired(now);
+    expired.insert(expired.end(), removed.begin(), removed.end());
   }
   // A waiting statement has not run, or its earlier attempts had no lasting effect, so it can be
   // refused as not run.
   for (const auto& each : expired) {
+    context_.counters.counter("statements_refused_total", {{"reason", "waited"}}).add();
     fail(each, each->is_in_transaction() ? sql::caller_error::aborted : sql::caller_error::busy,
          "no free slot in time");
   }
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -1,9 +1,6 @@
 #include "entry/statement_runner.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "base/log.h"
@@ -19,10 +16,6 @@
 // Attempts of one statement, including the first.
 constexpr std::uint32_t max_attempts = 6;
 
-// Longest wait for a slot, as a percentage of the statement's latency objective. Under overload,
-// the statements that are served meet the objective, and the others are refused early as not run.
-constexpr int queue_timeout_percent = 50;
-
 // Pause before a retry after a target had no free slot.
 constexpr duration busy_pause = milliseconds{8};
 
@@ -35,82 +28,11 @@
 constexpr int read_timeout_percent = 75;
 constexpr duration min_read_timeout = milliseconds{150};
 
-// Statements that are sent to a target beyond its number of slots, so that a free slot is filled
-// without waiting for a network round trip.
-constexpr std::uint32_t extra_running = 1;
-
 }  // namespace
 
 statement_runner::statement_runner(entry_context& context)
     : context_(context), pool_(context, [this](const service_id& service) { dispatch(service); }) {}
 
-void statement_runner::run(const work_ptr& item) {
-  if (item->pinned.is_set()) {
-    run_pinned(item);
-    return;
-  }
-  const auto timeout = item->route->latency_objective * queue_timeout_percent / 100;
-  item->wait_end = std::min(item->deadline, item->arrived + timeout);
-  enqueue(item);
-  dispatch(item->route->service);
-}
-
-void statement_runner::run_pinned(const work_ptr& item) {
-  if (item->pinned.connection->io.is_open()) {
-    start(item, item->pinned.connection, std::nullopt);
-    return;
-  }
-  // The connection ended while the caller paused, and the target rolled the transaction back.
-  context_.loop.post([this, item] { fail(item, caller_error::aborted, "the connection was lost"); });
-}
-
-void statement_runner::cancel(const work_ptr& item) {
-  item->is_cancelled = true;
-  const auto it = waiting_.find(item->route->service);
-  if (it != waiting_.end()) it->second.items.remove(item);
-}
-
-void statement_runner::enqueue(const work_ptr& item) {
-  auto& [start_tags, items] = waiting_[item->route->service];
-  // A retried statement keeps its start tag.
-  if (item->start_tag == 0) item->start_tag = start_tags.allocate(item->customer);
-  // Order: priority of the route, then start tag among the customers, then time of arrival.
-  const auto key = [](const work_item& each) {
-    return std::tuple{each.route->priority, each.start_tag, each.arrived};
-  };
-  const auto position =
-      std::find_if(items.begin(), items.end(), [&](const work_ptr& each) { return key(*each) > key(*item); });
-  items.insert(position, item);
-}
-
-void statement_runner::dispatch_all() {
-  for (const auto& [service, queue] : waiting_) dispatch(service);
-}
-
-void statement_runner::dispatch(const service_id& service) {
-  const auto it = waiting_.find(service);
-  // Dispatching statements changes the pool, which calls this function again.
-  if (it == waiting_.end() || it->second.items.empty() || std::exchange(is_dispatching_, true)) return;
-  auto& [start_tags, items] = it->second;
-  // Stops as soon as all slots are taken, so that the end of each statement does not cause a scan
-  // of the whole queue.
-  for (auto each = items.begin(); each != items.end() && has_free_slot(service);) {
-    const auto item = *each;
-    const auto next = std::next(each);
-    if (try_dispatch(item)) {
-      start_tags.on_served(item->start_tag);
-      items.erase(each);
-    }
-    each = next;
-  }
-  is_dispatching_ = false;
-}
-
-bool statement_runner::has_free_slot(const service_id& service) const {
-  const auto directory = context_.shared.services.find(service);
-  return directory != context_.shared.services.end() && directory->second.has_room(extra_running);
-}
-
 std::optional<log_point> statement_runner::required_point(const work_item& item) const {
   if (item.is_for_primary()) return std::nullopt;
   const auto directory = context_.shared.services.find(item.route->service);
@@ -156,14 +78,15 @@
 
 void statement_runner::open_connection_for(const work_ptr& item, const std::vector<target_id>& candidates) {
   const auto& service = item->route->service;
-  const auto& items = waiting_[service].items;
-  const auto wanted = static_cast<std::size_t>(std::count_if(
-      items.begin(), items.end(), [&](const work_ptr& each) { return each->customer == item->customer; }));
+  const auto wanted = queues_[service].waiting.count_of(item->customer);
   for (const auto& target : candidates) {
     if (pool_.opening(target, item->customer) >= wanted) return;
     const auto* entry = context_.shared.services[service].find(target);
-    const std::size_t max_useful = entry == nullptr ? 1 : entry->info.slots + extra_running;
-    if (pool_.open(service, target, item->customer, max_useful)) return;
+    connection_request request;
+    if (entry != nullptr) request.max_useful = entry->info.slots + extra_running;
+    request.is_urgent = item->route->priority == 0;
+    request.can_wait = item->wait_end - context_.loop.now();
+    if (pool_.open(service, target, item->customer, request)) return;
   }
 }
 
@@ -235,6 +158,10 @@
   connection->batch_deadline.reset();
   record_replies(*item, *connection, plan, sent, result);
   const auto attempt = evaluate_replies(plan, result);
+  if (attempt.outcome == attempt_outcome::done) {
+    const auto now = context_.loop.now();
+    queues_[connection->service].waits.on_finished(item->route->priority, now - sent, now);
+  }
   if (attempt.error == target_error::read_only) {
     context_.shared.services[connection->service].on_read_only(connection->target, context_.loop.now());
   }
@@ -276,7 +203,7 @@
     const bool may_be_committed = item->is_commit() || (!item->is_in_transaction() && item->is_write());
     // A statement of an open transaction runs on the connection of that transaction only.
     const bool can_run_elsewhere = !may_be_committed && !item->pinned.is_set();
-    if (can_run_elsewhere && retry(item, connection->target, duration::zero())) return;
+    if (can_run_elsewhere && retry(item, connection->target, duration::zero(), true)) return;
     if (item->is_in_transaction() && !item->is_commit()) {
       fail(item, caller_error::aborted, attempt.error_text);
     } else if (attempt.error == target_error::failed) {
@@ -327,7 +254,7 @@
     --item->attempts;
     if (primary_entry == nullptr || primary_entry->blocked_until > now) pause = behind_pause;
   }
-  if (!item->pinned.is_set() && retry(item, connection->target, pause)) return;
+  if (!item->pinned.is_set() && retry(item, connection->target, pause, false)) return;
   if (error == target_error::malformed) {
     fail(item, caller_error::malformed, attempt.error_text);
     return;
@@ -346,14 +273,20 @@
   }
   // The target rolled the transaction back when the connection was closed, so the first statement
   // of a transaction can be retried.
-  if (!item->pinned.is_set() && retry(item, target, duration::zero())) return;
+  if (!item->pinned.is_set() && retry(item, target, duration::zero(), true)) return;
   // Reads and uncommitted transactions have no lasting effect.
   fail(item, item->is_in_transaction() ? caller_error::aborted : caller_error::busy, reason);
 }
 
-bool statement_runner::retry(const work_ptr& item, const target_id& failed, duration pause) {
+bool statement_runner::retry(const work_ptr& item, const target_id& failed, duration pause,
+                             bool has_used_slot) {
   const auto now = context_.loop.now();
   if (item->attempts >= max_attempts || now + pause >= item->deadline) return false;
+  auto& queue = queues_[item->route->service];
+  if (has_used_slot && !queue.retries.try_retry(!queue.waiting.empty())) {
+    context_.counters.counter("statement_retries_refused_total").add();
+    return false;
+  }
   item->excluded_target = failed;
   item->not_before = now + pause;
   enqueue(item);
@@ -388,10 +321,4 @@
   item->done(std::move(result));
 }
 
-std::size_t statement_runner::waiting_count() const {
-  std::size_t sum = 0;
-  for (const auto& [service, queue] : waiting_) sum += queue.items.size();
-  return sum;
-}
-
 }  // namespace bulrushlift::entry
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -11,7 +10,9 @@
 #include "entry/connection_pool.h"
 #include "entry/entry_context.h"
 #include "entry/work_item.h"
-#include "sql/start_tag_allocator.h"
+#include "sql/dispatch_queue.h"
+#include "sql/retry_budget.h"
+#include "sql/wait_estimator.h"
 
 /// @file
 /// Runs statements on targets: queues them until a suitable connection is free, sends them,
@@ -48,15 +49,25 @@
   void dispatch_all();
 
   [[nodiscard]] std::size_t waiting_count() const;
+  /// @return the time that a new statement of a customer without waiting statements is likely to
+  ///   wait for a slot here.
+  /// @param priority that of its route; 0 is the most urgent.
+  [[nodiscard]] duration expected_wait(const service_id& service, int priority) const;
   [[nodiscard]] connection_pool& pool() noexcept { return pool_; }
 
   static constexpr duration tick_interval = std::chrono::milliseconds{20};
 
  private:
-  /// Statements of one service that wait for a slot.
-  struct waiting_queue {
-    sql::start_tag_allocator start_tags;
-    std::list<work_ptr> items;
+  /// Statements that are sent to a target beyond its number of slots, so that a free slot is
+  /// filled without waiting for a network round trip.
+  static constexpr std::uint32_t extra_running = 1;
+
+  /// What the runner keeps for each service.
+  struct service_queue {
+    sql::dispatch_queue<work_ptr> waiting;
+    sql::wait_estimator waits;
+    sql::retry_budget retries;
+    std::map<int, bool> is_for_primary;  ///< By priority, whether the newest statement was for the primary.
   };
 
   /// An attempt of a statement on a connection.
@@ -91,8 +102,19 @@
   void on_done(const work_ptr& item, const connection_pool::connection_ptr& connection,
                const attempt_result& attempt);
   void return_connection(const connection_pool::connection_ptr& connection, const attempt_result& attempt);
-  [[nodiscard]] bool retry(const work_ptr& item, const target_id& failed, duration pause);
+  /// Queues the statement once more.
+  /// @param has_used_slot whether the failed attempt occupied a slot of a target.
+  /// @return whether it may be retried.
+  [[nodiscard]] bool retry(const work_ptr& item, const target_id& failed, duration pause, bool has_used_slot);
   void enqueue(const work_ptr& item);
+  /// @return why the statement is refused at once, or nothing if it may wait for a slot.
+  [[nodiscard]] std::optional<std::string_view> refusal_of(const work_item& item);
+  void refuse(const work_ptr& item, std::string_view reason);
+  [[nodiscard]] duration predicted_wait(const service_id& service,
+                                        const sql::waiting_statement& statement) const;
+  [[nodiscard]] sql::slot_use slot_use(const service_id& service, bool is_for_primary) const;
+  /// @return whether the customer may rest in another transaction on a target that may run the statement.
+  [[nodiscard]] bool may_begin_transaction(const work_item& item) const;
   void fail(const work_ptr& item, sql::caller_error kind, std::string_view reason);
   void finish(const work_ptr& item, work_result result);
   void fail_expired();
@@ -100,12 +122,13 @@
   /// Logs queue lengths and connection counts of the services that have waiting statements, once
   /// per second.
   void report_load();
+  void report_waits(const service_id& service);
   void log_primary_change(const service_id& service, const sql::target_entry* primary_entry);
   void probe(const service_id& service, const target_id& target);
 
   entry_context& context_;
   connection_pool pool_;
-  std::map<service_id, waiting_queue> waiting_;
+  std::map<service_id, service_queue> queues_;
   std::map<target_id, time_point> last_probe_;
   time_point last_load_report_{};
   std::map<service_id, target_id> logged_primaries_;  ///< As last logged; empty if there was none.
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -11,6 +11,9 @@
 namespace bulrushlift::platform {
 namespace {
 
+// A higher limit is a mistake in the configuration.
+constexpr std::uint64_t max_connection_limit = 1'000'000;
+
 using nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -129,7 +132,8 @@
   field_reader fields{value, "services[]"};
   const service_id name{fields.text("name")};
   sql::service_options options;
-  options.connection_limit = static_cast<std::uint32_t>(fields.number("connectionLimit"));
+  options.connection_limit = static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(fields.number("connectionLimit"), max_connection_limit));
   options.synchronous_replicas = static_cast<std::uint32_t>(fields.number_or("syncReplicas", 0));
   if (fields.has_failed()) return fields.failure();
   out.services.insert_or_assign(name, options);
