--- a/packages/entry/statement_placement.cc
+++ b/packages/entry/statement_placement.cc
@@ -15,6 +15,15 @@
   return entry != nullptr && entry->info.data_centre == *item.data_centre;
 }
 
+std::vector<target_id> statement_runner::candidates_for(const work_item& item) const {
+  const auto directory = context_.shared.services.find(item.route->service);
+  if (directory == context_.shared.services.end()) return {};
+  auto candidates = directory->second.candidates({required_point(item), context_.settings.data_centre},
+                                                 context_.loop.now());
+  if (item.excluded_target && candidates.size() > 1) std::erase(candidates, *item.excluded_target);
+  return candidates;
+}
+
 bool statement_runner::is_better_elsewhere(const work_item& item,
                                            const std::vector<target_id>& candidates) const {
   if (!item.data_centre) return false;
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "entry/statement_wire.h"
+#include "sql/wait_estimator.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -111,9 +112,41 @@
     relay(item, item->pinned.owner);
     return;
   }
+  if (!is_admitted(*item)) {
+    refuse(item);
+    return;
+  }
   send(item, place(item));
 }
 
+bool statement_router::is_admitted(const work_item& item) {
+  // A statement that was sent before may run where nothing is known about the wait.
+  if (item.relays > 0) return true;
+  std::vector<sql::wait_key> queues;
+  const auto priority = item.route->priority;
+  if (context_.shared.gateways.is_in_use()) {
+    for (const auto& each : placement_order(item)) queues.push_back({item.route->service, each, priority});
+  }
+  if (queues.empty()) queues.push_back({item.route->service, {}, priority});
+  const auto allowed = sql::longest_useful_wait(item.route->latency_objective);
+  if (allowed <= duration::zero()) return true;
+  return waits_.admits(queues, item.customer, allowed, context_.loop.now(), context_.random());
+}
+
+void statement_router::refuse(const work_ptr& item) {
+  context_.counters.counter("statements_refused_total", {{"reason", "reported wait"}}).add();
+  log_info("statement_refused", {{"request_id", item->statement.id},
+                                 {"service", item->route->service.str()},
+                                 {"customer", item->customer.str()},
+                                 {"reason", "the VMs that could run it reported a longer wait"},
+                                 {"priority", std::int64_t{item->route->priority}}});
+  context_.loop.post([this, item] {
+    if (item->is_cancelled) return;
+    fail(item, item->is_in_transaction() ? caller_error::aborted : caller_error::busy,
+         "no free slot expected in time");
+  });
+}
+
 void statement_router::send(const work_ptr& item, const std::optional<vm_id>& vm) {
   if (vm && *vm != context_.settings.vm) {
     relay(item, *vm);
@@ -173,6 +206,10 @@
     return;
   }
   const auto value = decode_reply(reply->statement_reply, owner);
+  if (value.expected_wait) {
+    waits_.record({item->route->service, item->data_centre.value_or(data_centre_id{}), item->route->priority},
+                  *value.expected_wait, context_.loop.now());
+  }
   if (item->is_cancelled) {
     roll_back(value.transaction);
     return;
@@ -233,7 +270,9 @@
     respond(item.error());
     return;
   }
-  reply_address to{vm_id{wire.sender}, (*item)->customer, 0, respond};
+  const sql::wait_key queue{(*item)->route->service, (*item)->data_centre.value_or(data_centre_id{}),
+                            (*item)->route->priority};
+  reply_address to{vm_id{wire.sender}, (*item)->customer, 0, queue, respond};
   if (wire.__isset.transaction) {
     to.transaction = static_cast<std::uint64_t>(wire.transaction);
     (*item)->pinned.connection = relayed_.start_statement(to.transaction, to.sender, to.customer);
@@ -243,7 +282,7 @@
                                                   {"customer", wire.customer},
                                                   {"number", to.transaction}});
       // No commit of the transaction was relayed, so it was rolled back.
-      reply_to_peer({to.sender, to.customer, 0, respond}, aborted("the transaction is over"));
+      reply_to_peer({to.sender, to.customer, 0, queue, respond}, aborted("the transaction is over"));
       return;
     }
   }
@@ -282,6 +321,9 @@
     relayed_.remove(number);
     number = 0;
   }
+  std::optional<data_centre_id> data_centre;
+  if (!to.queue.data_centre.empty()) data_centre = to.queue.data_centre;
+  value.expected_wait = runner_.expected_wait(to.queue.service, data_centre, to.queue.priority);
   peer::envelope_t reply;
   reply.__set_statement_reply(encode_reply(value, number));
   to.respond(std::move(reply));
--- a/packages/entry/statement_router.h
+++ b/packages/entry/statement_router.h
@@ -8,6 +8,7 @@
 #include "entry/relayed_transaction_table.h"
 #include "entry/statement_runner.h"
 #include "entry/work_item.h"
+#include "sql/wait_board.h"
 
 /// @file
 /// Relays statements to the owner of their service, which is the VM that holds the connections to
@@ -50,10 +51,14 @@
     vm_id sender;
     customer_id customer;
     std::uint64_t transaction = 0;  ///< Number of the open transaction; 0 for a statement that begins none.
+    sql::wait_key queue;            ///< Where the statement waited.
     peer_responder respond;
   };
 
   [[nodiscard]] std::vector<vm_id> unreachable_vms() const;
+  /// @return whether the statement would get a slot in time, as far as the VMs that could run it reported.
+  [[nodiscard]] bool is_admitted(const work_item& item);
+  void refuse(const work_ptr& item);
   /// Chooses the VM that runs a statement, and the data centre whose targets it is to use.
   /// @return nothing if no VM can run it.
   [[nodiscard]] std::optional<vm_id> place(const work_ptr& item) const;
@@ -79,6 +84,7 @@
   peer_adapter& peers_;
   statement_runner& runner_;
   std::map<vm_id, time_point> unreachable_until_;
+  sql::wait_board waits_;
   relayed_transaction_table relayed_;
   std::size_t relayed_statements_ = 0;
 };
