Judge targets by their answers

Cause: targets were ranked by the number of running statements, and an answer of any kind ended the pause of a failing one, so a replica that fails, delays or never answers a part of its reads kept its share of them, and a target that others use too was sent as many statements as it has slots. Change: target_health keeps decaying measures of latency and outcome for each target, compares the targets of a service, ejects bad ones from reads (at most half, never the last), probes them before full use and doubles the ejection of those that flap. concurrency_limit adapts to targets that others use too. Work that only the primary can run and failover are unchanged, and healthy targets are ranked as before.

--- a/packages/entry/statement_maintenance.cc
+++ b/packages/entry/statement_maintenance.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "entry/attempt_report.h"
 #include "entry/statement_runner.h"
 
 // Periodic tasks of the statement runner: timeouts of waiting and running statements, probes of
@@ -27,6 +28,7 @@
   fail_expired();
   probe_services();
   dispatch_all();
+  report_target_health(context_);
   report_load();
 }
 
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "entry/attempt_report.h"
 #include "sql/freshness.h"
 
 namespace bulrushlift::entry {
@@ -128,10 +129,8 @@
   auto candidates = directory->second.candidates({required, context_.settings.data_centre}, now);
   if (item->excluded_target && candidates.size() > 1) std::erase(candidates, *item->excluded_target);
   // A target whose slots are all in use needs no further connection.
-  std::erase_if(candidates, [&](const target_id& target) {
-    const auto* entry = directory->second.find(target);
-    return entry == nullptr || entry->running >= entry->info.slots + extra_running;
-  });
+  std::erase_if(candidates,
+                [&](const target_id& target) { return !directory->second.has_room(target, extra_running); });
   if (candidates.empty()) return false;
   if (try_idle_connection(item, candidates, required)) return true;
   open_connection_for(item, candidates);
@@ -179,7 +178,7 @@
     batch_deadline = std::min(batch_deadline, now + timeout);
   }
   connection->batch_deadline = batch_deadline;
-  context_.shared.services[connection->service].on_started(connection->target);
+  report_start(context_, *item, *connection);
   send_part(std::make_shared<running_attempt>(
       running_attempt{item, connection, plan_batch(*item, *connection, required), now}));
 }
@@ -235,8 +234,10 @@
   connection->batch_deadline.reset();
   record_replies(*item, *connection, plan, sent, result);
   const auto attempt = evaluate_replies(plan, result);
+  const auto now = context_.loop.now();
+  if (!result.replies.empty()) report_attempt(context_, pool_, *item, *connection, attempt, now - sent);
   if (attempt.error == target_error::read_only) {
-    context_.shared.services[connection->service].on_read_only(connection->target, context_.loop.now());
+    context_.shared.services[connection->service].on_read_only(connection->target, now);
   }
   if (item->is_cancelled) {
     return_connection(connection, attempt);
--- a/packages/sql/target_directory.cc
+++ b/packages/sql/target_directory.cc
@@ -30,6 +30,8 @@
 constexpr int running_cost = 10;
 constexpr int remote_cost = 4;
 constexpr int primary_cost = 8;
+// Of a target that looks bad while the others are unknown, so that some reads go to them.
+constexpr int suspect_cost = 20;
 
 duration block_time(std::uint32_t failures) {
   auto span = min_block;
@@ -46,6 +48,8 @@
   const bool was_primary = entry.info.is_primary;
   if (is_other_process) entry = target_entry{};
   entry.info = info;
+  if (is_other_process) health_.remove(info.target);
+  health_.update(info.target, info.slots, info.is_leaving);
   if (is_other_process) {
     if (primary_ == info.target && !info.is_primary) set_primary(std::nullopt, now);
     entry.last_success = now;
@@ -58,6 +62,7 @@
 
 void target_directory::remove(const target_id& target, time_point now) {
   targets_.erase(target);
+  health_.remove(target);
   if (primary_ == target) set_primary(std::nullopt, now);
 }
 
@@ -110,6 +115,7 @@
   if (!entry.failing_since) entry.failing_since = now;
   entry.last_failure = now;
   entry.blocked_until = now + block_time(entry.failures);
+  health_.on_no_answer(target, entry.running, now);
 }
 
 bool target_directory::is_connection_doubtful(const target_id& target, time_point idle_since) const {
@@ -127,6 +133,17 @@
   if (it != targets_.end()) ++it->second.running;
 }
 
+void target_directory::on_started(const target_id& target, work_kind kind, duration objective,
+                                  time_point now) {
+  on_started(target);
+  health_.on_started(target, kind, objective, now);
+}
+
+void target_directory::on_attempt(const target_id& target, const target_attempt& attempt, time_point now) {
+  const auto* entry = find(target);
+  if (entry != nullptr) health_.on_attempt(target, attempt, entry->running + 1, now);
+}
+
 void target_directory::on_finished(const target_id& target) {
   const auto it = targets_.find(target);
   if (it != targets_.end() && it->second.running > 0) --it->second.running;
@@ -147,9 +164,18 @@
   return it == targets_.end() ? nullptr : &it->second;
 }
 
+bool target_directory::has_room(const target_id& target, std::uint32_t extra) const {
+  const auto* entry = find(target);
+  return entry != nullptr && entry->running < health_.allowed(target, extra);
+}
+
 bool target_directory::has_room(std::uint32_t extra) const {
-  return std::any_of(targets_.begin(), targets_.end(), [extra](const auto& each) {
-    return each.second.running < each.second.info.slots + extra;
+  const bool has_healthy = std::any_of(targets_.begin(), targets_.end(), [this](const auto& each) {
+    return !each.second.failing_since && !health_.is_ejected(each.first);
+  });
+  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
+    const bool is_avoided = has_healthy && health_.is_ejected(each.first) && primary_ != each.first;
+    return !is_avoided && has_room(each.first, extra);
   });
 }
 
@@ -164,10 +190,12 @@
   return !is_point_recent || *entry.point >= required || now - entry.point_time > behind_pause;
 }
 
-int target_directory::cost(const target_entry& entry, const target_requirements& request) const {
+int target_directory::cost(const target_entry& entry, const target_requirements& request,
+                           time_point now) const {
   int sum = static_cast<int>(entry.running) * running_cost;
   if (entry.info.data_centre != request.preferred_data_centre) sum += remote_cost;
   if (primary_ == entry.info.target) sum += primary_cost;
+  if (health_.is_suspect(entry.info.target, now)) sum += suspect_cost;
   return sum;
 }
 
@@ -179,9 +207,13 @@
     return {leader->info.target};
   }
   std::vector<std::pair<int, target_id>> ranked;
+  std::vector<std::pair<int, target_id>> ejected;
   for (const auto& [id, entry] : targets_) {
-    if (is_eligible(entry, *request.required_point, now)) ranked.emplace_back(cost(entry, request), id);
+    if (!is_eligible(entry, *request.required_point, now)) continue;
+    const bool is_admitted = health_.admission(id, entry.running, now) != read_admission::none;
+    (is_admitted ? ranked : ejected).emplace_back(cost(entry, request, now), id);
   }
+  if (ranked.empty()) ranked = std::move(ejected);
   std::sort(ranked.begin(), ranked.end());
   std::vector<target_id> chosen;
   chosen.reserve(ranked.size());
--- a/packages/sql/target_directory.h
+++ b/packages/sql/target_directory.h
@@ -11,6 +11,7 @@
 #include "sql/freshness.h"
 #include "sql/report_filter.h"
 #include "sql/statement.h"
+#include "sql/target_health.h"
 
 /// @file
 /// What one VM knows about the targets of one service: which one is the primary, which
@@ -78,6 +79,12 @@
 
   /// A statement of this VM started on the target.
   void on_started(const target_id& target);
+  /// As above.
+  /// @param objective latency objective of the statement.
+  void on_started(const target_id& target, work_kind kind, duration objective, time_point now);
+  /// The target answered an attempt of a statement, at least in part. Call after `on_finished`; an attempt
+  /// without any answer is told by `on_failure` only.
+  void on_attempt(const target_id& target, const target_attempt& attempt, time_point now);
   /// A statement of this VM ended on the target.
   void on_finished(const target_id& target);
 
@@ -92,13 +99,19 @@
 
   /// Ranks the targets that can run a statement. Load pattern: many small reads over few slots.
   /// Prefers replicas with the fewest running statements, then those in the same data centre,
-  /// and uses the primary last, to leave it free for work that only it can do.
+  /// and uses the primary last, to leave it free for work that only it can do. Targets that
+  /// `target_health` ejected are used if no other target can serve.
   /// @return targets from best to worst; empty if no target can serve now.
   [[nodiscard]] std::vector<target_id> candidates(const target_requirements& request, time_point now) const;
 
   /// @param extra statements that a target may be sent in addition to its slots.
   /// @return whether another statement can be sent to at least one target.
   [[nodiscard]] bool has_room(std::uint32_t extra) const;
+  /// @return whether another statement can be sent to this target.
+  [[nodiscard]] bool has_room(const target_id& target, std::uint32_t extra) const;
+
+  /// @return what changed in the health of the targets since the last call, for logs and metrics.
+  [[nodiscard]] std::vector<health_change> take_health_changes() { return health_.take_changes(); }
 
   /// @return the entry of a target, or null if it is unknown.
   [[nodiscard]] const target_entry* find(const target_id& target) const;
@@ -113,9 +126,10 @@
  private:
   void set_primary(const std::optional<target_id>& target, time_point now);
   [[nodiscard]] bool is_eligible(const target_entry& entry, const log_point& required, time_point now) const;
-  [[nodiscard]] int cost(const target_entry& entry, const target_requirements& request) const;
+  [[nodiscard]] int cost(const target_entry& entry, const target_requirements& request, time_point now) const;
 
   std::map<target_id, target_entry> targets_;
+  target_health health_;
   std::optional<target_id> primary_;
   std::optional<time_point> leaderless_since_;
   freshness_log samples_;
