Merge the judgement of targets and the decision on leaving the data centre

Cause: targets were ranked by a count of running statements, and nothing decided when a read leaves its data centre. Change: sql/target_health judges targets by latency and outcome; sql/overflow_controller decides for each read from the waits that gateways report in their replies. The settings block "crossing" switches it on; it acts only where gateways are in use. entry/statement_placement turns it into the data centre and the VM of a statement. The monitors of each service are kept between ticks, as they are asked for at each opening of a connection.

--- a/packages/entry/entry_context.cc
+++ b/packages/entry/entry_context.cc
@@ -43,10 +43,11 @@
 
 std::optional<std::size_t> monitor_rank(const service_id& service, const shared_state& shared,
                                         const vm_id& self) {
-  const auto monitors = monitors_of(service, shared);
-  const auto it = std::find(monitors.begin(), monitors.end(), self);
-  if (it == monitors.end()) return std::nullopt;
-  return static_cast<std::size_t>(it - monitors.begin());
+  const auto monitors = shared.monitors.find(service);
+  if (monitors == shared.monitors.end()) return std::nullopt;
+  const auto it = std::find(monitors->second.begin(), monitors->second.end(), self);
+  if (it == monitors->second.end()) return std::nullopt;
+  return static_cast<std::size_t>(it - monitors->second.begin());
 }
 
 sql::service_role role_for(const sql::target_announcement& target, const shared_state& shared,
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -162,6 +162,16 @@
   }
   shared.gateways = std::move(gateways);
   shared.ownership = ownership_table::build(std::move(services), shared.members, resources);
+  update_monitors();
+}
+
+void entry_daemon::update_monitors() {
+  auto& shared = context_.shared;
+  std::map<service_id, std::vector<vm_id>> monitors;
+  for (const auto& [service, directory] : shared.services) {
+    monitors.emplace(service, monitors_of(service, shared));
+  }
+  shared.monitors = std::move(monitors);
 }
 
 void entry_daemon::on_members() {
@@ -181,6 +191,7 @@
   if (++ticks_ % ticks_per_slow_tick != 0) return;
   if (ticks_ % (ticks_per_slow_tick * slow_ticks_per_report) == 0) store_.log_calls();
   store_.on_tick();
+  update_monitors();
   failover_.on_tick();
   router_.on_tick();
   const auto now = context_.loop.now();
--- a/packages/entry/entry_daemon.h
+++ b/packages/entry/entry_daemon.h
@@ -41,6 +41,8 @@
   void accept(int handle);
   void remove_session(caller_session& session);
   void update_ownership();
+  /// The monitors follow the targets and the primaries too, so they are computed at each tick.
+  void update_monitors();
   void on_members();
   void on_tick();
   void on_drain_tick();
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -88,6 +88,25 @@
   return std::nullopt;
 }
 
+/// Reads the optional block that says what a crossing between data centres costs.
+std::optional<error> read_crossing(const json& document, std::optional<sql::overflow_settings>& out) {
+  const auto it = document.find("crossing");
+  if (it == document.end()) return std::nullopt;
+  if (!it->is_object()) return invalid_field("crossing", "is not an object").value();
+  using std::chrono::milliseconds;
+  sql::overflow_settings read;
+  const std::pair<const char*, duration*> durations[] = {{"cost_ms", &read.crossing_cost},
+                                                         {"delay_ms", &read.crossing_delay},
+                                                         {"max_remote_wait_ms", &read.max_remote_wait}};
+  for (const auto& [name, value] : durations) {
+    if (auto failure = read_duration<milliseconds>(*it, name, *value)) return failure;
+  }
+  if (auto failure = read_number(*it, "primary_weight", read.primary_weight)) return failure;
+  if (const auto checked = sql::validate(read); !checked) return checked.error();
+  out = read;
+  return std::nullopt;
+}
+
 }  // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text) {
@@ -116,6 +135,7 @@
   check(read_duration<std::chrono::milliseconds>(document, "target_report_interval_ms",
                                                  out.target_report_interval));
   check(read_capacity(document, out.capacity));
+  check(read_crossing(document, out.crossing));
   if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -9,6 +10,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "sql/overflow_controller.h"
 
 /// @file
 /// Settings of a proxy that serves sessions on the operators' platform. The settings file is JSON
@@ -47,6 +49,8 @@
   /// Interval of the reports that a target makes to the store.
   duration target_report_interval = std::chrono::milliseconds{1'200};
   vm_capacity capacity;
+  /// What it costs to run a read in another data centre; reads stay in their own if it is not set.
+  std::optional<sql::overflow_settings> crossing;
   log_level level = log_level::info;
   /// Maximum number of log lines per second of each event. Examples of a frequent event, such as a
   /// refusal, are enough for an investigation.
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -47,6 +47,19 @@
   CHECK(negative.error().message == "link_mbps: is not a number of at least 0");
 }
 
+// Guards against reads that leave their data centre without settings that say what this costs.
+TEST_CASE("The cost of a crossing is optional and checked") {
+  CHECK_FALSE(parse_entry_settings(settings_text())->crossing);
+  const auto parsed =
+      parse_entry_settings(settings_text(R"("crossing": {"cost_ms": 12, "delay_ms": 2}, "vm": "entry-1")"));
+  REQUIRE(parsed);
+  REQUIRE(parsed->crossing);
+  CHECK(parsed->crossing->crossing_cost == std::chrono::milliseconds{12});
+  CHECK(parsed->crossing->crossing_delay == std::chrono::milliseconds{2});
+  CHECK_FALSE(parse_entry_settings(settings_text(R"("crossing": {"cost_ms": -1}, "vm": "entry-1")")));
+  CHECK_FALSE(parse_entry_settings(settings_text(R"("crossing": 5, "vm": "entry-1")")));
+}
+
 TEST_CASE("Wrong settings name the field") {
   const auto missing = parse_entry_settings(settings_text(R"("other": 1)"));
   REQUIRE_FALSE(missing);
--- a/packages/entry/statement_admission.cc
+++ b/packages/entry/statement_admission.cc
@@ -184,7 +184,7 @@
       context_.shared.gateways.is_in_use() && std::any_of(targets.begin(), targets.end(), is_held);
   if (!is_gateway) return directory->second.has_room(extra_running);
   return std::any_of(targets.begin(), targets.end(), [&](const auto& each) {
-    return is_held(each) && each.second.running < each.second.info.slots + extra_running;
+    return is_held(each) && directory->second.has_room(each.first, extra_running);
   });
 }
 
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -6,7 +6,6 @@
 
 #include "base/log.h"
 #include "entry/statement_wire.h"
-#include "sql/wait_estimator.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -44,47 +43,6 @@
   });
 }
 
-std::vector<vm_id> statement_router::unreachable_vms() const {
-  const auto now = context_.loop.now();
-  std::vector<vm_id> failed;
-  for (const auto& [vm, until] : unreachable_until_) {
-    if (until > now) failed.push_back(vm);
-  }
-  return failed;
-}
-
-std::vector<data_centre_id> statement_router::placement_order(const work_item& item) const {
-  const auto& service = item.route->service;
-  auto order = data_centres_of(service, context_.shared);
-  if (order.empty()) return order;
-  if (item.is_for_primary()) {
-    // Nothing is known about the primary before the first one is announced.
-    const bool is_known = context_.shared.primary_data_centres.contains(service);
-    order.resize(is_known ? 1 : 0);
-    return order;
-  }
-  // The own data centre, then those with replicas, then that of the primary.
-  std::rotate(order.begin(), order.begin() + 1, order.end());
-  const auto own = std::find(order.begin(), order.end(), context_.settings.data_centre);
-  if (own != order.end()) std::rotate(order.begin(), own, own + 1);
-  return order;
-}
-
-std::optional<vm_id> statement_router::place(const work_ptr& item) const {
-  const auto failed = unreachable_vms();
-  item->data_centre.reset();
-  if (context_.shared.gateways.is_in_use()) {
-    for (const auto& centre : placement_order(*item)) {
-      if (std::find(item->tried_data_centres.begin(), item->tried_data_centres.end(), centre) !=
-          item->tried_data_centres.end())
-        continue;
-      item->data_centre = centre;
-      return holder_of(item->route->service, centre, context_.shared, failed);
-    }
-  }
-  return context_.shared.ownership.first_except(item->route->service, failed);
-}
-
 void statement_router::on_moved(const work_ptr& item, const data_centre_id& suggested) {
   if (item->is_cancelled) return;
   if (item->relays >= max_relays || context_.loop.now() >= item->deadline) {
@@ -119,34 +77,6 @@
   send(item, place(item));
 }
 
-bool statement_router::is_admitted(const work_item& item) {
-  // A statement that was sent before may run where nothing is known about the wait.
-  if (item.relays > 0) return true;
-  std::vector<sql::wait_key> queues;
-  const auto priority = item.route->priority;
-  if (context_.shared.gateways.is_in_use()) {
-    for (const auto& each : placement_order(item)) queues.push_back({item.route->service, each, priority});
-  }
-  if (queues.empty()) queues.push_back({item.route->service, {}, priority});
-  const auto allowed = sql::longest_useful_wait(item.route->latency_objective);
-  if (allowed <= duration::zero()) return true;
-  return waits_.admits(queues, item.customer, allowed, context_.loop.now(), context_.random());
-}
-
-void statement_router::refuse(const work_ptr& item) {
-  context_.counters.counter("statements_refused_total", {{"reason", "reported wait"}}).add();
-  log_info("statement_refused", {{"request_id", item->statement.id},
-                                 {"service", item->route->service.str()},
-                                 {"customer", item->customer.str()},
-                                 {"reason", "the VMs that could run it reported a longer wait"},
-                                 {"priority", std::int64_t{item->route->priority}}});
-  context_.loop.post([this, item] {
-    if (item->is_cancelled) return;
-    fail(item, item->is_in_transaction() ? caller_error::aborted : caller_error::busy,
-         "no free slot expected in time");
-  });
-}
-
 void statement_router::send(const work_ptr& item, const std::optional<vm_id>& vm) {
   if (vm && *vm != context_.settings.vm) {
     relay(item, *vm);
@@ -342,6 +272,7 @@
 
 void statement_router::on_tick() {
   const auto now = context_.loop.now();
+  report_placements();
   const auto& environment = context_.shared.environment;
   const auto limit =
       (environment ? environment->transaction_idle_limit : default_idle_limit) + idle_limit_allowance;
--- a/packages/entry/statement_router.h
+++ b/packages/entry/statement_router.h
@@ -8,6 +8,7 @@
 #include "entry/relayed_transaction_table.h"
 #include "entry/statement_runner.h"
 #include "entry/work_item.h"
+#include "sql/overflow_controller.h"
 #include "sql/wait_board.h"
 
 /// @file
@@ -61,9 +62,13 @@
   void refuse(const work_ptr& item);
   /// Chooses the VM that runs a statement, and the data centre whose targets it is to use.
   /// @return nothing if no VM can run it.
-  [[nodiscard]] std::optional<vm_id> place(const work_ptr& item) const;
+  [[nodiscard]] std::optional<vm_id> place(const work_ptr& item);
   /// @return the data centres whose targets may run the statement, best first.
-  [[nodiscard]] std::vector<data_centre_id> placement_order(const work_item& item) const;
+  [[nodiscard]] std::vector<data_centre_id> placement_order(const work_item& item);
+  /// @return the data centres with targets for a read, as the decision on overflow needs them.
+  [[nodiscard]] std::vector<sql::read_site> read_sites(const work_item& item) const;
+  /// Logs and counts which reads left their data centre and why.
+  void report_placements();
   /// Runs the statement in another data centre than the one that could not run it.
   void on_moved(const work_ptr& item, const data_centre_id& suggested);
   /// Sends the statement to the VM that `place` chose; runs it here if that is this VM or there is none.
@@ -85,6 +90,8 @@
   statement_runner& runner_;
   std::map<vm_id, time_point> unreachable_until_;
   sql::wait_board waits_;
+  std::map<service_id, sql::overflow_controller> overflow_;
+  time_point last_placement_report_{};
   relayed_transaction_table relayed_;
   std::size_t relayed_statements_ = 0;
 };
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "entry/attempt_report.h"
 #include "sql/freshness.h"
 
 namespace bulrushlift::entry {
@@ -56,10 +57,8 @@
     std::erase_if(candidates, [&](const target_id& target) { return !is_in_data_centre(*item, target); });
   }
   // A target whose slots are all in use needs no further connection.
-  std::erase_if(candidates, [&](const target_id& target) {
-    const auto* entry = directory->second.find(target);
-    return entry == nullptr || entry->running >= entry->info.slots + extra_running;
-  });
+  std::erase_if(candidates,
+                [&](const target_id& target) { return !directory->second.has_room(target, extra_running); });
   if (candidates.empty()) return false;
   if (try_idle_connection(item, candidates, required)) return true;
   open_connection_for(item, candidates);
@@ -108,7 +107,7 @@
     batch_deadline = std::min(batch_deadline, now + timeout);
   }
   connection->batch_deadline = batch_deadline;
-  context_.shared.services[connection->service].on_started(connection->target);
+  report_start(context_, *item, *connection);
   send_part(std::make_shared<running_attempt>(
       running_attempt{item, connection, plan_batch(*item, *connection, required), now}));
 }
@@ -164,12 +163,13 @@
   connection->batch_deadline.reset();
   record_replies(*item, *connection, plan, sent, result);
   const auto attempt = evaluate_replies(plan, result);
+  const auto now = context_.loop.now();
+  if (!result.replies.empty()) report_attempt(context_, pool_, *item, *connection, attempt, now - sent);
   if (attempt.outcome == attempt_outcome::done) {
-    const auto now = context_.loop.now();
     queues_[connection->service].waits.on_finished(item->route->priority, now - sent, now);
   }
   if (attempt.error == target_error::read_only) {
-    context_.shared.services[connection->service].on_read_only(connection->target, context_.loop.now());
+    context_.shared.services[connection->service].on_read_only(connection->target, now);
   }
   if (item->is_cancelled) {
     return_connection(connection, attempt);
--- a/packages/sql/wait_board.cc
+++ b/packages/sql/wait_board.cc
@@ -27,10 +27,10 @@
   reports_[key] = {std::max(wait, duration::zero()), now};
 }
 
-std::optional<duration> wait_board::find(const wait_key& key, time_point now) const {
+std::optional<known_wait> wait_board::find(const wait_key& key, time_point now) const {
   const auto it = reports_.find(key);
   if (it == reports_.end() || now - it->second.time > report_lifetime) return std::nullopt;
-  return it->second.wait;
+  return known_wait{it->second.wait, now - it->second.time};
 }
 
 double wait_board::demand_of(const customer_id& customer, time_point now) {
@@ -41,12 +41,11 @@
     }
     period_start_ += demand_period;
     total_demand_ = 0;
-    std::erase_if(demand_, [this](auto& each) {
-      each.second /= 2;
-      if (each.second < forgotten_demand) return true;
-      total_demand_ += each.second;
-      return false;
-    });
+    for (auto& [name, count] : demand_) {
+      count /= 2;
+      total_demand_ += count;
+    }
+    std::erase_if(demand_, [](const auto& each) { return each.second < forgotten_demand; });
   }
   auto& own = demand_[customer];
   own += 1;
@@ -59,9 +58,9 @@
   const auto demand = demand_of(customer, now);
   std::optional<duration> shortest;
   for (const auto& each : keys) {
-    const auto wait = find(each, now);
-    if (!wait || *wait <= allowed) return true;
-    shortest = shortest ? std::min(*shortest, *wait) : *wait;
+    const auto known = find(each, now);
+    if (!known || known->age > refusal_lifetime || known->wait <= allowed) return true;
+    shortest = shortest ? std::min(*shortest, known->wait) : known->wait;
   }
   if (!shortest) return true;
   // The longer the wait, the smaller the part that is sent; a customer's part shrinks with its demand.
--- a/packages/sql/wait_board.h
+++ b/packages/sql/wait_board.h
@@ -33,17 +33,27 @@
   friend auto operator<=>(const wait_key&, const wait_key&) = default;
 };
 
+/// A reported wait.
+struct known_wait {
+  duration wait{};
+  duration age{};  ///< Time since the report.
+
+  friend bool operator==(const known_wait&, const known_wait&) = default;
+};
+
 class wait_board {
  public:
+  /// No statement is refused because of a report that is older than this.
+  static constexpr duration refusal_lifetime = std::chrono::milliseconds{400};
   /// A report says nothing about the queue after this time.
-  static constexpr duration report_lifetime = std::chrono::milliseconds{400};
+  static constexpr duration report_lifetime = std::chrono::milliseconds{1'500};
 
   /// Keeps a report.
   /// @param wait how long a statement that arrives now would wait.
   void record(const wait_key& key, duration wait, time_point now);
 
   /// @return the reported wait, or nothing if there is no recent report.
-  [[nodiscard]] std::optional<duration> find(const wait_key& key, time_point now) const;
+  [[nodiscard]] std::optional<known_wait> find(const wait_key& key, time_point now) const;
 
   /// Decides whether a statement is sent. A customer that sends more than an even share of this VM's recent
   /// statements is refused more often than the others.
--- a/packages/sql/wait_board_test.cc
+++ b/packages/sql/wait_board_test.cc
@@ -32,7 +32,7 @@
   board.record(here, allowed, now);
   CHECK(admitted(board, {here}, "a", now) == 1'000);
   board.record(here, 10 * allowed, now);
-  CHECK(admitted(board, {here}, "a", now + wait_board::report_lifetime + milliseconds{1}) == 1'000);
+  CHECK(admitted(board, {here}, "a", now + wait_board::refusal_lifetime + milliseconds{1}) == 1'000);
 }
 
 // Guards against a queue that is never asked again, and against a rush when it is short again.
