Prefer urgent requests while a customer is over its rate

Cause: while a customer is over its limit, its urgent requests are refused as often as the others. Change: admit takes a priority. While a request was refused in the last second and both kinds ask for tokens, waiting urgent requests get the next ones, the others leave a bounded reserve in the bucket of a home VM, and loan requests say which part is urgent (optional field, older VMs ignore it). After seven urgent tokens in a row the next is for another request. The reserve only refuses. The fuzz commands now mix priorities; the bounds of its checks are unchanged. Marking every loan request as urgent, and lending parts of a token above the reserve, lost a tenth of all tokens.

--- a/packages/limits/budget_commands_fake.cc
+++ b/packages/limits/budget_commands_fake.cc
@@ -30,7 +30,11 @@
   const customer_id customer{bits.below(2) == 0 ? "large" : "small"};
   const auto count = bits.below(4) == 0 ? 40 : 1 + bits.below(6);
   const auto cost = bits.below(8) == 0 ? whole_tokens(3) : whole_tokens(1);
-  for (std::uint64_t i = 0; i < count; ++i) fleet.admit(index, customer, cost);
+  // Every first, second or third request is urgent.
+  const auto urgent_interval = 1 + bits.below(3);
+  for (std::uint64_t i = 0; i < count; ++i) {
+    fleet.admit(index, customer, cost, i % urgent_interval == 0 ? 0 : 1);
+  }
 }
 
 void change_rates(budget_fleet& fleet, command_bits& bits) {
--- a/packages/limits/budget_controller.cc
+++ b/packages/limits/budget_controller.cc
@@ -70,7 +70,7 @@
 }
 
 admission budget_controller::admit(const customer_id& customer, millitokens cost, time_point now,
-                                   std::uint64_t random, budget_actions& actions) {
+                                   std::uint64_t random, budget_actions& actions, int priority) {
   if (customer == anonymous_customer()) return admitted{};
   if (!has_document_) {
     return refused{error{error_kind::no_configuration, "no document is in force on this VM yet",
@@ -80,7 +80,7 @@
   if (budget == nullptr) {
     return refused{error{error_kind::forbidden, "customer " + customer.str() + " is not in the document"}};
   }
-  auto decision = budget->admit(cost, now, random, actions);
+  auto decision = budget->admit(cost, now, random, actions, priority);
   note_waiting(customer, *budget);
   return decision;
 }
--- a/packages/limits/budget_controller.h
+++ b/packages/limits/budget_controller.h
@@ -102,6 +102,7 @@
   millitokens outstanding;  ///< Tokens lent and not reported as spent.
   millitokens demand;       ///< Cost of all requests in the last demand window.
   std::size_t waiting = 0;  ///< Number of requests that wait for tokens.
+  millitokens reserved{};   ///< Part of the level that only urgent requests may spend.
 
   friend bool operator==(const budget_snapshot&, const budget_snapshot&) = default;
 };
@@ -131,13 +132,15 @@
   /// @return the refusals.
   [[nodiscard]] budget_actions apply_document(const budget_document& document, time_point now);
 
-  /// Admits, delays or refuses a request. Requests of one customer are handled in order:
-  /// while some wait, later ones wait behind them.
+  /// Admits, delays or refuses a request. Requests of one customer and priority are handled in
+  /// order: while some wait, later ones wait behind them.
   /// @param cost at least 1 millitoken.
   /// @param random decides between home VMs with equal expected levels.
   /// @param actions receives the actions to carry out, such as sending a loan request.
+  /// @param priority 0 is the most urgent. While the customer is over its limit, tokens go to urgent
+  ///   requests first (`urgent_reserve`); otherwise the priority has no effect.
   [[nodiscard]] admission admit(const customer_id& customer, millitokens cost, time_point now,
-                                std::uint64_t random, budget_actions& actions);
+                                std::uint64_t random, budget_actions& actions, int priority = 0);
 
   /// Removes a waiting request whose caller has disconnected.
   void cancel(budget_ticket ticket);
--- a/packages/limits/budget_fleet_fake.cc
+++ b/packages/limits/budget_fleet_fake.cc
@@ -304,12 +304,12 @@
   }
 }
 
-void budget_fleet::admit(std::size_t index, const customer_id& customer, millitokens cost) {
+void budget_fleet::admit(std::size_t index, const customer_id& customer, millitokens cost, int priority) {
   auto& each = *instances_[index];
   if (each.paused_until > now_) return;
   run_instance(index);
   budget_actions actions;
-  const auto decision = each.budgets->admit(customer, cost, local_time(each), random_(), actions);
+  const auto decision = each.budgets->admit(customer, cost, local_time(each), random_(), actions, priority);
   if (std::holds_alternative<admitted>(decision)) {
     spend(customer, cost);
   } else if (const auto* waits = std::get_if<waits_for_loan>(&decision)) {
--- a/packages/limits/budget_fleet_fake.h
+++ b/packages/limits/budget_fleet_fake.h
@@ -67,7 +67,8 @@
   /// Runs all events of the next `span` of true time.
   void advance(duration span);
   /// Sends a request to a process; does nothing while the process is paused.
-  void admit(std::size_t instance, const customer_id& customer, millitokens cost);
+  /// @param priority 0 is the most urgent.
+  void admit(std::size_t instance, const customer_id& customer, millitokens cost, int priority = 0);
   void set_conditions(const message_conditions& conditions) { conditions_ = conditions; }
   /// Drops all messages that have not been delivered yet.
   void lose_messages() { messages_.clear(); }
--- a/packages/limits/customer_budget.h
+++ b/packages/limits/customer_budget.h
@@ -11,6 +11,7 @@
 #include "limits/home_bucket.h"
 #include "limits/home_selector.h"
 #include "limits/loan.h"
+#include "limits/urgent_reserve.h"
 
 /// @file
 /// The budget of one customer at one VM. Internal to the budget controller.
@@ -43,7 +44,7 @@
   void set_share(const budget_share& customer_share, const std::vector<vm_id>& homes, time_point now);
 
   [[nodiscard]] admission admit(millitokens cost, time_point now, std::uint64_t random,
-                                budget_actions& actions);
+                                budget_actions& actions, int priority);
   void cancel(budget_ticket ticket);
   [[nodiscard]] loan_reply lend(const loan_request& request, time_point now);
   void on_loan_reply(const vm_id& home, const loan_reply& reply, time_point now, budget_actions& actions);
@@ -62,7 +63,9 @@
     budget_ticket ticket;
     millitokens cost;
     time_point deadline;
+    int priority = 0;
   };
+  using waiting_requests = std::deque<waiting_request>;
 
   /// @return rate and capacity with which the tokens of all home VMs together accrue.
   [[nodiscard]] budget_share relaxed_bucket() const;
@@ -70,6 +73,23 @@
   [[nodiscard]] millitokens largest_cost() const;
   /// @return the level of the own bucket plus the borrowed tokens.
   [[nodiscard]] millitokens available_tokens(time_point now);
+  /// @return what a request of this priority may spend of them.
+  [[nodiscard]] millitokens available_tokens(int priority, time_point now);
+  /// @return what requests that are not urgent must leave in the own bucket.
+  [[nodiscard]] millitokens reserved_tokens(time_point now);
+  /// @return the cost of the urgent waiting requests, or zero while there is no need to prefer them.
+  [[nodiscard]] millitokens urgent_waiting_cost(time_point now) const;
+  /// @return what may be lent if the bucket has it: the urgent part, and what is not reserved.
+  [[nodiscard]] millitokens lendable_amount(const loan_request& request, time_point now);
+  /// @return what the urgent waiting requests lack and no home VM has been asked for.
+  [[nodiscard]] millitokens missing_urgent(time_point now);
+  [[nodiscard]] bool has_room_to_wait(millitokens cost) const;
+  /// Refuses the newest waiting request that is not urgent, in favour of an urgent one.
+  /// @return whether there was one.
+  bool displace_waiting(time_point now, budget_actions& actions);
+  void refuse(waiting_requests::iterator it, time_point now, budget_actions& actions);
+  /// @return the waiting request that gets the next tokens; there must be one.
+  [[nodiscard]] waiting_requests::iterator next_waiting(time_point now);
   void spend(millitokens cost, time_point now);
   /// @return `over_rate`, with the time in which `missing` accrues at the customer's rate.
   [[nodiscard]] error over_rate_error(millitokens missing) const;
@@ -79,6 +99,9 @@
   void resume_waiting(time_point now, budget_actions& actions);
   void refuse_expired(time_point now, budget_actions& actions);
   void request_loans(time_point now, std::uint64_t random, budget_actions& actions);
+  /// Asks one home VM for the tokens that the urgent requests lack, also during a long back-off.
+  void request_urgent_loan(time_point now, std::uint64_t random, budget_actions& actions);
+  void send_request(const vm_id& home, millitokens amount, time_point now, budget_actions& actions);
   void set_timer(time_point now);
 
   customer_id customer_;
@@ -88,7 +111,8 @@
   borrowed_tokens borrowed_tokens_;
   home_selector homes_;
   demand_window demand_;
-  std::deque<waiting_request> waiting_;
+  urgent_reserve reserve_;
+  waiting_requests waiting_;  ///< In the order of arrival.
   millitokens waiting_cost_;
   std::optional<time_point> next_timer_;
 };
--- a/packages/limits/home_selector.cc
+++ b/packages/limits/home_selector.cc
@@ -66,6 +66,20 @@
   return best->vm;
 }
 
+std::optional<vm_id> home_selector::choose_for_urgent(time_point now, const std::set<vm_id>& unreachable,
+                                                      std::uint64_t random) const {
+  const home* best = nullptr;
+  for (std::size_t i = 0; i < homes_.size(); ++i) {
+    const auto& each = homes_[(i + random) % homes_.size()];
+    const bool is_pending = each.pending && !each.is_overdue;
+    if (is_pending || each.has_failed || unreachable.contains(each.vm)) continue;
+    if (each.reported_at && now < *each.reported_at + options_.retry_pause) continue;
+    if (best == nullptr || expected_level(each, now) > expected_level(*best, now)) best = &each;
+  }
+  if (best == nullptr) return std::nullopt;
+  return best->vm;
+}
+
 void home_selector::on_request_sent(const vm_id& vm, const loan_request& request, millitokens expected,
                                     time_point now) {
   auto* each = find(vm);
@@ -131,6 +145,14 @@
   return sum;
 }
 
+millitokens home_selector::pending_urgent() const {
+  millitokens sum;
+  for (const auto& each : homes_) {
+    if (each.pending && !each.is_overdue) sum += each.pending->request.urgent;
+  }
+  return sum;
+}
+
 std::optional<time_point> home_selector::next_change(time_point now,
                                                      const std::set<vm_id>& unreachable) const {
   std::optional<time_point> next;
--- a/packages/limits/home_selector.h
+++ b/packages/limits/home_selector.h
@@ -37,6 +37,11 @@
   [[nodiscard]] std::optional<vm_id> choose(millitokens needed, time_point now,
                                             const std::set<vm_id>& unreachable, std::uint64_t random) const;
 
+  /// As `choose`, for urgent requests while tokens are short: waits only for the initial back-off of a
+  /// home VM that lent less than was asked for, because others leave it tokens for urgent requests.
+  [[nodiscard]] std::optional<vm_id> choose_for_urgent(time_point now, const std::set<vm_id>& unreachable,
+                                                       std::uint64_t random) const;
+
   /// @return the level that the home VM last reported plus its refill since then. A home VM
   ///   that has not reported a level counts as full, and a VM that is no home as empty.
   [[nodiscard]] millitokens expected_level(const vm_id& home, time_point now) const;
@@ -68,6 +73,9 @@
   /// @return the amount expected from requests that are pending and not overdue.
   [[nodiscard]] millitokens pending_amount() const;
 
+  /// @return the part of those requests that is for urgent requests of callers.
+  [[nodiscard]] millitokens pending_urgent() const;
+
   /// @return the next time at which a home VM may be asked again or a pending request
   ///   becomes overdue.
   [[nodiscard]] std::optional<time_point> next_change(time_point now,
--- a/packages/limits/loan.h
+++ b/packages/limits/loan.h
@@ -94,6 +94,7 @@
   customer_id customer;
   millitokens amount;
   std::vector<loan_use> used;
+  millitokens urgent{};  ///< Part of the amount that urgent requests wait for.
 
   friend bool operator==(const loan_request&, const loan_request&) = default;
 };
--- a/packages/peer_protocol/peer.thrift
+++ b/packages/peer_protocol/peer.thrift
@@ -98,6 +98,7 @@
   4: required i64 millitokens
   5: required list<loan_use_t> used
   6: required i64 generation
+  7: optional i64 urgent_millitokens
 }
 
 struct loan_reply_t {
--- a/packages/peers/loan_wire.cc
+++ b/packages/peers/loan_wire.cc
@@ -23,6 +23,7 @@
     wire.used.push_back(each);
   }
   wire.generation = to_signed(generation.value());
+  if (request.urgent > millitokens{}) wire.__set_urgent_millitokens(request.urgent.value());
   return wire;
 }
 
@@ -35,6 +36,7 @@
   for (const auto& use : wire.used) {
     request.used.push_back({loan_id{to_unsigned(use.loan)}, millitokens{use.used_millitokens}});
   }
+  if (wire.__isset.urgent_millitokens) request.urgent = millitokens{wire.urgent_millitokens};
   return request;
 }
 
