Empty evacuated data centres within their bound

Cause: no line read the operators' entries, so an evacuated data centre went on getting statements, and its primary stayed.

Change: two VMs watch the entries; heartbeats carry the whole set with its position in the store's history, so that the set with the higher position is the newer one wherever it came from. Targets there are no candidates, get no new connection and lose idle ones; open transactions end after a tenth of the bound; a primary there is replaced by a target elsewhere. Without evacuation_bound_ms nothing is read. The pacing of cold targets and the filter of home regions come as modules without network; the pacer is called by the runner and has no effect without cold_statements_per_second.

Earlier path tests not run yet; not measured on the platform.

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -134,7 +134,7 @@
   const auto directory = context_.shared.services.find(service);
   if (directory == context_.shared.services.end()) return false;
   const auto* entry = directory->second.find(target);
-  if (entry == nullptr) return false;
+  if (entry == nullptr || directory->second.is_evacuated(*entry)) return false;
   const auto now = context_.loop.now();
   auto& pool = pools_[target];
   const auto opening = pool.counts.at(static_cast<std::size_t>(connection_use::opening));
@@ -225,6 +225,21 @@
   });
 }
 
+void connection_pool::close_unused(const target_id& target, bool ends_transactions) {
+  const auto* pool = find(target);
+  if (pool == nullptr) return;
+  std::vector<connection_ptr> unused;
+  for (const auto& each : pool->all) {
+    const bool is_transaction = each->use == connection_use::pinned;
+    if (ends_transactions && is_transaction) each->is_ending = true;
+    const bool is_ended = each->is_ending && !each->io.is_busy();
+    if (each->use == connection_use::idle || each->use == connection_use::opening || is_ended) {
+      unused.push_back(each);
+    }
+  }
+  for (const auto& each : unused) remove(each);
+}
+
 void connection_pool::on_tick() {
   const auto now = context_.loop.now();
   std::vector<connection_ptr> timed_out;
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -39,6 +39,7 @@
   customer_id customer;
   sql::connection_state state;
   connection_use use = connection_use::opening;
+  bool is_ending = false;                    ///< No further statement may be sent on it.
   time_point use_start{};                    ///< Start of the current use.
   std::optional<time_point> batch_deadline;  ///< When the running batch or opening is aborted.
 };
@@ -79,6 +80,12 @@
   /// Closes a connection, for example because its session state is unknown.
   void discard(const connection_ptr& connection);
 
+  /// Closes the connections to a target on which no statement runs, also those that are being opened, because
+  /// nothing may be sent to it any more. Call periodically.
+  /// @param ends_transactions whether those of open transactions are closed too, which rolls them back. One
+  ///   on which a statement runs is closed after it.
+  void close_unused(const target_id& target, bool ends_transactions);
+
   /// Aborts batches and openings that are past their deadline, and closes idle connections that
   /// were not used for a long time, exceed the connection limit, or lead to a removed target.
   void on_tick();
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -15,7 +15,9 @@
 #include "fleet/ownership_table.h"
 #include "net/event_loop.h"
 #include "platform/documents.h"
+#include "sql/cold_pacer.h"
 #include "sql/environment.h"
+#include "sql/evacuation_set.h"
 #include "sql/target_directory.h"
 
 /// @file
@@ -35,6 +37,8 @@
   std::map<vm_id, platform::vm_record> vms;              ///< `store_adapter`.
   std::vector<member> members;                           ///< `membership_adapter`.
   ownership_table ownership;                             ///< `entry_daemon`; covers the configured services.
+  sql::evacuation_set evacuations;                       ///< `evacuation_adapter`.
+  sql::cold_pacer cold{{}};                              ///< `entry_daemon` and `statement_runner`.
   bool is_target_list_trusted = false;                   ///< `store_adapter`.
   drain_phase drain = drain_phase::none;                 ///< `entry_daemon`.
   std::optional<time_point> last_deadline;  ///< `entry_daemon`; latest deadline of a statement of a session.
@@ -62,7 +66,9 @@
       : settings(std::move(values)),
         incarnation(start),
         random(seed),
-        shared(settings.configuration_bound, seed) {}
+        shared(settings.configuration_bound, seed) {
+    shared.cold = sql::cold_pacer{settings.cold};
+  }
 
   entry_settings settings;
   incarnation_id incarnation;
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -28,7 +28,7 @@
 
 store_adapter::observer make_store_observer(
     entry_context& context, budget_adapter& budgets, membership_adapter& membership, statement_runner& runner,
-    std::function<void()> on_environment,
+    evacuation_adapter& evacuations, std::function<void()> on_environment,
     std::function<void(const platform::promotion_record&)> on_promotion) {
   store_adapter::observer observer;
   observer.on_environment = [&budgets, &runner, on_environment = std::move(on_environment)] {
@@ -36,7 +36,13 @@
     on_environment();
     runner.dispatch_all();
   };
-  observer.on_targets = [&runner](const service_id& service) { runner.dispatch(service); };
+  observer.on_targets = [&context, &runner, &evacuations](const service_id& service) {
+    evacuations.on_targets(service);
+    for (const auto& [target, entry] : context.shared.services[service].targets()) {
+      context.shared.cold.on_report(target, entry.info.number, entry.info.cold_remaining, context.loop.now());
+    }
+    runner.dispatch(service);
+  };
   observer.on_vms = [&context, &budgets, &membership] {
     membership.update_seeds();
     context.counters.gauge("vms").set(static_cast<double>(context.shared.vms.size()));
@@ -54,6 +60,7 @@
       budgets_(context, peers_),
       runner_(context),
       router_(context, peers_, runner_),
+      evacuations_(context, runner_.pool(), [this] { runner_.dispatch_all(); }),
       membership_(
           context, [this] { on_members(); }, [this] { context_.loop.stop(); },
           [this](const vm_id& peer, const configuration_status& status) {
@@ -61,7 +68,7 @@
           }),
       store_(context, peers_,
              make_store_observer(
-                 context, budgets_, membership_, runner_,
+                 context, budgets_, membership_, runner_, evacuations_,
                  [this] {
                    update_ownership();
                    std::vector<caller_session*> all;
@@ -92,6 +99,11 @@
     return tl::unexpected<error>(bound.error());
   }
   if (const auto bound = peers_.listen(); !bound) return tl::unexpected<error>(bound.error());
+  if (settings.evacuation_bound > duration::zero()) {
+    membership_.exchange_evacuations(
+        [this] { return evacuations_.status(); },
+        [this](const sql::evacuation_status& status) { evacuations_.on_status_received(status); });
+  }
   if (const auto bound = membership_.open(); !bound) return tl::unexpected<error>(bound.error());
   if (const auto bound = metrics_.listen(settings.metrics_listen); !bound) {
     return tl::unexpected<error>(bound.error());
@@ -108,6 +120,8 @@
   if (!is_term_watched || !is_hup_watched) {
     return make_error(error_kind::internal_error, "cannot install the signal handlers");
   }
+  // Before the targets are listed, so that a VM that starts sends nothing to an evacuated data centre.
+  evacuations_.start();
   store_.start();
   tick_timer_.set(statement_runner::tick_interval, [this] { on_tick(); });
   return {};
@@ -115,7 +129,8 @@
 
 http_response entry_daemon::answer_readiness() const {
   http_response response;
-  const bool is_ready = store_.is_ready() && context_.shared.drain == drain_phase::none;
+  const bool is_ready =
+      store_.is_ready() && evacuations_.is_ready() && context_.shared.drain == drain_phase::none;
   response.status = is_ready ? http_ok : http_unavailable;
   return response;
 }
@@ -157,11 +172,13 @@
   }
   budgets_.set_unreachable(std::move(unreachable));
   store_.on_members();
+  evacuations_.on_members();
   runner_.dispatch_all();
 }
 
 void entry_daemon::on_tick() {
   tick_timer_.set(statement_runner::tick_interval, [this] { on_tick(); });
+  evacuations_.on_tick();
   runner_.on_tick();
   if (++ticks_ % ticks_per_slow_tick != 0) return;
   if (ticks_ % (ticks_per_slow_tick * slow_ticks_per_report) == 0) store_.log_calls();
--- a/packages/entry/entry_daemon.h
+++ b/packages/entry/entry_daemon.h
@@ -8,6 +8,7 @@
 #include "entry/budget_adapter.h"
 #include "entry/caller_session.h"
 #include "entry/entry_context.h"
+#include "entry/evacuation_adapter.h"
 #include "entry/failover_adapter.h"
 #include "entry/membership_adapter.h"
 #include "entry/peer_adapter.h"
@@ -55,6 +56,7 @@
   budget_adapter budgets_;
   statement_runner runner_;
   statement_router router_;
+  evacuation_adapter evacuations_;
   membership_adapter membership_;
   store_adapter store_;
   failover_adapter failover_;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -113,8 +113,12 @@
   check(read_number(document, "rate_slack", out.rate_slack));
   check(
       read_duration<std::chrono::milliseconds>(document, "configuration_bound_ms", out.configuration_bound));
+  check(read_duration<std::chrono::milliseconds>(document, "evacuation_bound_ms", out.evacuation_bound));
   check(read_duration<std::chrono::milliseconds>(document, "target_report_interval_ms",
                                                  out.target_report_interval));
+  check(read_number(document, "cold_statements_per_second", out.cold.per_second));
+  check(read_number(document, "cold_overage", out.cold.overage));
+  check(read_number(document, "cold_slack", out.cold.slack));
   check(read_capacity(document, out.capacity));
   if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "sql/cold_pacer.h"
 
 /// @file
 /// Settings of a proxy that serves sessions on the operators' platform. The settings file is JSON
@@ -46,6 +47,9 @@
   duration configuration_bound = std::chrono::seconds{3};
   /// Interval of the reports that a target makes to the store.
   duration target_report_interval = std::chrono::milliseconds{1'200};
+  /// Within this time of its confirmation an evacuation is in force on all VMs; zero if none are watched.
+  duration evacuation_bound{};
+  sql::cold_allowance cold;  ///< What a cold target may get from all VMs together.
   vm_capacity capacity;
   log_level level = log_level::info;
   /// Maximum number of log lines per second of each event. Examples of a frequent event, such as a
--- a/packages/entry/membership_adapter.cc
+++ b/packages/entry/membership_adapter.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "base/log.h"
+#include "entry/evacuation_wire.h"
 #include "peer_protocol/frame.h"
 #include "peers/membership_wire.h"
 
@@ -83,6 +84,8 @@
   perform(controller_.on_message(message, from.str(), now, context_.random()));
   const auto& status = envelope->__isset.ping ? envelope->ping.configuration : envelope->ack.configuration;
   on_status_(message.sender, from_wire(status));
+  if (!on_evacuations_) return;
+  if (const auto evacuations = evacuations_of(*envelope)) on_evacuations_(*evacuations);
 }
 
 void membership_adapter::perform(const membership_actions& actions) {
@@ -99,8 +102,10 @@
     log_warning("peer_address_invalid", {{"address", action.address}, {"reason", to.error().message}});
     return;
   }
-  socket_.send(*to, encode_envelope(envelope_of(
-                        action.message, context_.shared.confirmations.status_at(context_.loop.now()))));
+  auto envelope = envelope_of(action.message, context_.shared.confirmations.status_at(context_.loop.now()));
+  const auto evacuations = evacuation_source_ ? evacuation_source_() : std::nullopt;
+  if (evacuations) add_evacuations(envelope, *evacuations);
+  socket_.send(*to, encode_envelope(envelope));
 }
 
 void membership_adapter::run(const member_changed& action) {
--- a/packages/entry/membership_adapter.h
+++ b/packages/entry/membership_adapter.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <optional>
+#include <utility>
 
 #include "entry/entry_context.h"
 #include "fleet/configuration_controller.h"
@@ -21,6 +23,16 @@
                      std::function<void()> on_superseded,
                      std::function<void(const vm_id&, const configuration_status&)> on_status);
 
+  /// Called for each heartbeat that tells which data centres are evacuated.
+  using evacuation_callback = std::function<void(const sql::evacuation_status&)>;
+  /// Called for each heartbeat that is sent. @return what it tells, or nothing.
+  using evacuation_source = std::function<std::optional<sql::evacuation_status>()>;
+  /// Exchanges the evacuated data centres in heartbeats. Call before `open`.
+  void exchange_evacuations(evacuation_source source, evacuation_callback on_received) {
+    evacuation_source_ = std::move(source);
+    on_evacuations_ = std::move(on_received);
+  }
+
   /// Opens the socket and starts the heartbeats.
   /// @return the address that the socket is bound to.
   [[nodiscard]] result<net_address> open();
@@ -45,6 +57,8 @@
   std::function<void()> on_change_;
   std::function<void()> on_superseded_;
   std::function<void(const vm_id&, const configuration_status&)> on_status_;
+  evacuation_source evacuation_source_;  ///< Empty if no evacuations are watched.
+  evacuation_callback on_evacuations_;
   membership_controller controller_;
   datagram_socket socket_;
   bool is_changed_ = false;
--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -61,9 +61,11 @@
   return joined;
 }
 
-session_deployment::session_deployment(const std::string& name, std::size_t vms, bool has_separate_store)
+session_deployment::session_deployment(const std::string& name, std::size_t vms, bool has_separate_store,
+                                       std::uint64_t evacuation_bound_ms)
     : folder_(std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name),
-      has_separate_store_(has_separate_store) {
+      has_separate_store_(has_separate_store),
+      evacuation_bound_ms_(evacuation_bound_ms) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   platform = std::make_unique<session_platform>(loop, [this](const ordered_promotion& order) {
@@ -94,6 +96,15 @@
                        target == database->primary(), ++last_report_}));
 }
 
+void session_deployment::evacuate(const std::string& data_centre) {
+  put("evacuations", data_centre, json::object());
+}
+
+void session_deployment::end_evacuation(const std::string& data_centre) {
+  platform->remove("evacuations", data_centre);
+  if (!separate_platform->faults().is_refusing) separate_platform->remove("evacuations", data_centre);
+}
+
 fault_proxy& session_deployment::put_proxy_before(const std::string& target) {
   auto& proxy = target_proxies_[target];
   proxy = std::make_unique<fault_proxy>(loop, *parse_address(database->address_of(target)));
@@ -137,7 +148,8 @@
                                 address(ports.peers),
                                 address(ports.metrics),
                                 uses_separate_store ? separate_platform->address() : platform->address(),
-                                platform->address()};
+                                platform->address(),
+                                evacuation_bound_ms_};
   std::ofstream{path} << proxy_settings_document(proxy).dump();
   auto started = child_process::start(
       {BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--entry", "--settings", path},
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -60,7 +60,9 @@
   /// @param vms number of proxies.
   /// @param has_separate_store whether the last VM uses a store of its own, so that it can lose
   ///   access to the store while the other VMs keep it.
-  session_deployment(const std::string& name, std::size_t vms, bool has_separate_store = false);
+  /// @param evacuation_bound_ms bound of evacuations in the settings; 0 leaves it out.
+  session_deployment(const std::string& name, std::size_t vms, bool has_separate_store = false,
+                     std::uint64_t evacuation_bound_ms = 0);
 
   event_loop loop;
   std::unique_ptr<session_platform> platform;
@@ -84,6 +86,9 @@
   /// the key "key-other".
   void publish(std::uint64_t version, const std::vector<std::string>& shop_keys);
   void announce(const std::string& target, const std::string& state);
+  /// Writes or removes the operators' entry for a data centre.
+  void evacuate(const std::string& data_centre);
+  void end_evacuation(const std::string& data_centre);
   /// Announces a target at a proxy, whose connections can be made silent.
   [[nodiscard]] fault_proxy& put_proxy_before(const std::string& target);
   /// Opens a session with the key "key-shop" on a VM and waits until it serves reads.
@@ -105,6 +110,7 @@
   std::string folder_;
   std::map<std::string, std::unique_ptr<fault_proxy>> target_proxies_;
   bool has_separate_store_ = false;
+  std::uint64_t evacuation_bound_ms_ = 0;
   std::uint64_t last_report_ = 0;  ///< Sequence number of the newest report of any target.
   std::vector<vm_ports> ports_;
   std::map<std::size_t, child_process> processes_;
--- a/packages/entry/statement_maintenance.cc
+++ b/packages/entry/statement_maintenance.cc
@@ -58,8 +58,13 @@
 void statement_runner::fail_expired() {
   const auto now = context_.loop.now();
   std::vector<work_ptr> expired;
+  std::vector<work_ptr> blocked;
   for (auto& [service, queue] : waiting_) {
     queue.items.remove_if([&](const work_ptr& each) {
+      if (is_blocked_by_evacuation(*each)) {
+        blocked.push_back(each);
+        return true;
+      }
       if (each->wait_end > now) return false;
       expired.push_back(each);
       return true;
@@ -71,6 +76,16 @@
     fail(each, each->is_in_transaction() ? sql::caller_error::aborted : sql::caller_error::busy,
          "no free slot in time");
   }
+  for (const auto& each : blocked) {
+    fail(each, each->is_in_transaction() ? sql::caller_error::aborted : sql::caller_error::busy,
+         "the data centre is evacuated");
+  }
+}
+
+bool statement_runner::is_blocked_by_evacuation(const work_item& item) const {
+  const auto directory = context_.shared.services.find(item.route->service);
+  return directory != context_.shared.services.end() &&
+         directory->second.is_blocked_by_evacuation(!required_point(item).has_value());
 }
 
 void statement_runner::probe_services() {
@@ -79,7 +94,8 @@
     const auto* primary_entry = directory.primary();
     log_primary_change(service, primary_entry);
     if (!monitor_rank(service, context_.shared, context_.settings.vm)) continue;
-    if (primary_entry == nullptr) {
+    // A VM that cannot read the store finds the successor of an evacuated primary by probes.
+    if (primary_entry == nullptr || directory.is_evacuated(*primary_entry)) {
       for (const auto& [id, entry] : directory.targets()) probe(service, id);
       continue;
     }
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -55,15 +55,6 @@
   dispatch(item->route->service);
 }
 
-void statement_runner::run_pinned(const work_ptr& item) {
-  if (item->pinned.connection->io.is_open()) {
-    start(item, item->pinned.connection, std::nullopt);
-    return;
-  }
-  // The connection ended while the caller paused, and the target rolled the transaction back.
-  context_.loop.post([this, item] { fail(item, caller_error::aborted, "the connection was lost"); });
-}
-
 void statement_runner::cancel(const work_ptr& item) {
   item->is_cancelled = true;
   const auto it = waiting_.find(item->route->service);
@@ -127,10 +118,12 @@
   const auto required = required_point(*item);
   auto candidates = directory->second.candidates({required, context_.settings.data_centre}, now);
   if (item->excluded_target && candidates.size() > 1) std::erase(candidates, *item->excluded_target);
+  const bool is_owner = owner_of(item->route->service, context_.shared) == context_.settings.vm;
   // A target whose slots are all in use needs no further connection.
   std::erase_if(candidates, [&](const target_id& target) {
     const auto* entry = directory->second.find(target);
-    return entry == nullptr || entry->running >= entry->info.slots + extra_running;
+    return entry == nullptr || entry->running >= entry->info.slots + extra_running ||
+           !context_.shared.cold.can_send(target, is_owner, now);
   });
   if (candidates.empty()) return false;
   if (try_idle_connection(item, candidates, required)) return true;
@@ -148,6 +141,7 @@
     if (target != candidates.front()) {
       static_cast<void>(pool_.open(item->route->service, candidates.front(), item->customer));
     }
+    static_cast<void>(context_.shared.cold.reserve(target, context_.loop.now()));
     start(item, connection, required);
     return true;
   }
@@ -308,7 +302,7 @@
       if (item->is_cancelled) {
         roll_back(connection);
       } else {
-        start(item, connection, std::nullopt);
+        run_pinned(item);
       }
     });
     return;
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -71,6 +71,10 @@
 
   /// Runs a statement on the connection of its transaction.
   void run_pinned(const work_ptr& item);
+  /// Runs it after a wait for a cold target.
+  void start_later(const work_ptr& item);
+  /// Closes the connection of the transaction and fails the statement, which was not sent, as aborted.
+  void end_pinned(const work_ptr& item, std::string_view reason);
   [[nodiscard]] bool has_free_slot(const service_id& service) const;
   [[nodiscard]] bool try_dispatch(const work_ptr& item);
   [[nodiscard]] bool try_idle_connection(const work_ptr& item, const std::vector<target_id>& candidates,
@@ -96,6 +100,7 @@
   void fail(const work_ptr& item, sql::caller_error kind, std::string_view reason);
   void finish(const work_ptr& item, work_result result);
   void fail_expired();
+  [[nodiscard]] bool is_blocked_by_evacuation(const work_item& item) const;
   void probe_services();
   /// Logs queue lengths and connection counts of the services that have waiting statements, once
   /// per second.
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -189,6 +189,7 @@
 void store_adapter::on_target_removed(const target_id& target) {
   reports_.on_removed(target, context_.loop.now());
   refused_reports_.erase(target);
+  context_.shared.cold.remove(target);
   const auto node = service_of_target_.extract(target);
   if (node.empty()) return;
   context_.shared.services[node.mapped()].remove(target, context_.loop.now());
--- a/packages/entry/store_mirror.h
+++ b/packages/entry/store_mirror.h
@@ -64,6 +64,9 @@
   [[nodiscard]] bool is_reachable() const noexcept { return failures_ == 0; }
   /// @return whether a refresh has begun and its listing is not complete.
   [[nodiscard]] bool is_refreshing() const noexcept { return is_refreshing_; }
+  /// @return the position in the store's history that the objects reflect. It is final for a listing or a
+  ///   batch of changes when `on_confirmed` is called.
+  [[nodiscard]] const store_version& position() const noexcept { return watch_position_; }
   /// @return the last version of an object that was received; 0 if the store holds no such object.
   [[nodiscard]] store_version version_of(const std::string& name) const;
 
--- a/packages/peer_protocol/peer.thrift
+++ b/packages/peer_protocol/peer.thrift
@@ -32,6 +32,15 @@
   2: required i64 confirmed_age_ms
 }
 
+/** The evacuated data centres that the store listed at a position of its history, and when it was last read. */
+struct evacuation_status_t {
+  1: required i64 epoch
+  2: required i64 position
+  3: required list<string> data_centres
+  /** Milliseconds since a VM read the store; -1 if none did. */
+  4: required i64 confirmed_age_ms
+}
+
 struct ping_t {
   1: required string sender
   2: required i64 incarnation
@@ -39,6 +48,7 @@
   4: required configuration_status_t configuration
   /** Set on an indirect ping: the member that the receiver is to probe for the sender. */
   5: optional string target
+  6: optional evacuation_status_t evacuations
 }
 
 struct ack_t {
@@ -48,6 +58,7 @@
   4: required configuration_status_t configuration
   /** The member that is reachable; differs from `sender` on indirect pings. */
   5: required string subject
+  6: optional evacuation_status_t evacuations
 }
 
 struct leave_t {
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -43,6 +43,9 @@
     if (value == nullptr || !value->is_number() || value->get<double>() < 0) return fail(name), 0.0;
     return value->get<double>();
   }
+  [[nodiscard]] double real_or(const char* name, double fallback) {
+    return find(name) == nullptr ? fallback : real(name);
+  }
   [[nodiscard]] bool flag_or(const char* name, bool fallback) {
     const auto* value = find(name);
     if (value == nullptr) return fallback;
@@ -77,6 +80,9 @@
   std::string invalid_field_;
 };
 
+// A target is cold for some seconds or minutes.
+constexpr double max_cold_ms = 24.0 * 3'600'000.0;
+
 // Limits of numbers that other programs write. A target has far fewer slots; an incarnation is a time in
 // milliseconds, of which `first_number_of` needs the upper bits to be free.
 constexpr std::uint64_t max_slots = 65'536;
@@ -187,6 +193,7 @@
   out.address = fields.text("address");
   out.data_centre = data_centre_id{fields.text("zone")};
   const auto slots = fields.number_or("slots", 1);
+  const auto cold_ms = fields.real_or("coldRemainingMs", 0);
   const auto state = fields.text("state");
   const auto role = fields.text_or("databaseRole", "replica");
   // "born" is the start time of the target's process in milliseconds since the Unix epoch.
@@ -201,6 +208,10 @@
     return make_error(error_kind::invalid_document, fmt::format("target.slots {} is out of range", slots));
   }
   out.slots = static_cast<std::uint32_t>(slots);
+  if (cold_ms > max_cold_ms) {
+    return make_error(error_kind::invalid_document, "target.coldRemainingMs is out of range");
+  }
+  out.cold_remaining = milliseconds{static_cast<std::int64_t>(cold_ms)};
   if (const auto checked = check_address(out.address); !checked) {
     return tl::unexpected<error>(checked.error());
   }
--- a/packages/platform/documents_test.cc
+++ b/packages/platform/documents_test.cc
@@ -46,11 +46,12 @@
 TEST_CASE("A target's announcement is decoded") {
   const auto decoded = decode_target(target(
       R"({"service":"s1","address":"10.0.0.9:80","zone":"z","version":"v1","slots":2,"state":"draining",
-          "coldRemainingMs":0,"databaseRole":"primary","sequence":4,"born":17})"));
+          "coldRemainingMs":2500,"databaseRole":"primary","sequence":4,"born":17})"));
   REQUIRE(decoded);
   CHECK(decoded->target == target_id{"i-1"});
   CHECK(decoded->is_leaving);
   CHECK(decoded->is_primary);
+  CHECK(decoded->cold_remaining == std::chrono::milliseconds{2'500});
   CHECK(decoded->number == sql::report_number{17, 4});
 }
 
@@ -85,6 +86,12 @@
     odd["slots"] = slots;
     CHECK_FALSE(decode_target({"i-1", {}, odd}));
   }
+  for (const auto* cold : {"-1", "1e300", "\"soon\"", "[]"}) {
+    CAPTURE(cold);
+    auto odd = content;
+    odd["coldRemainingMs"] = json::parse(cold);
+    CHECK_FALSE(decode_target({"i-1", {}, odd}));
+  }
 }
 
 // Guards against a name that ends the first line on a connection to a target and begins another one.
--- a/packages/platform/object_store.cc
+++ b/packages/platform/object_store.cc
@@ -135,6 +135,8 @@
       return "servers";
     case object_kind::vms:
       return "bulrushlift-vms";
+    case object_kind::evacuations:
+      return "evacuations";
     case object_kind::promotions:
       break;
   }
--- a/packages/platform/object_store.h
+++ b/packages/platform/object_store.h
@@ -28,9 +28,10 @@
   targets,        ///< Announcements of targets, one object per target.
   vms,            ///< Processes of the proxy, one object per VM.
   promotions,     ///< Claims of promotions, one object per service.
+  evacuations,    ///< Data centres whose targets get nothing, one object per data centre.
 };
 
-inline constexpr std::size_t object_kind_count = 4;
+inline constexpr std::size_t object_kind_count = 5;
 
 /// @return the name of the kind in the paths of the store.
 [[nodiscard]] std::string_view name_of(object_kind kind) noexcept;
--- a/packages/sql/environment.h
+++ b/packages/sql/environment.h
@@ -24,6 +24,9 @@
   read_your_writes,   ///< As `bounded_staleness`, plus all commits of the same session.
 };
 
+using region_id = name_id<struct region_tag>;
+using region_set = std::set<region_id>;
+
 /// How the proxy serves the sessions of one database.
 struct database_route {
   route_id id;
@@ -34,6 +37,7 @@
   duration latency_objective{};  ///< Latency objective of a whole operation.
   int priority = 0;              ///< 0 is the most urgent.
   bool is_public = false;        ///< Sessions without a known key are served too.
+  region_set home_regions{};     ///< Regions where statements may run; empty for anywhere.
 
   friend bool operator==(const database_route&, const database_route&) = default;
 };
@@ -46,10 +50,11 @@
   friend bool operator==(const service_options&, const service_options&) = default;
 };
 
-/// Rate limit of one customer.
+/// Rate limit and home regions of one customer.
 struct customer_options {
   double rate_per_second = 0;  ///< Operations per second over all VMs together.
   double burst = 0;            ///< Operations that may be sent at once.
+  region_set home_regions{};   ///< Regions where its statements may run; empty for anywhere.
 
   friend bool operator==(const customer_options&, const customer_options&) = default;
 };
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -12,7 +12,15 @@
 // Targets that the platform runs for a service; in a shorter list some are missing.
 constexpr std::size_t expected_group_size = 3;
 
-bool is_promotable(const target_entry* entry) { return entry != nullptr && !entry->info.is_leaving; }
+bool is_promotable(const target_directory& directory, const target_entry* entry) {
+  return entry != nullptr && !entry->info.is_leaving && !directory.is_evacuated(*entry);
+}
+
+/// @return whether a target is listed in a data centre that is evacuated.
+bool is_evacuated(const target_directory& directory, const target_id& target) {
+  const auto* entry = directory.find(target);
+  return entry != nullptr && directory.is_evacuated(*entry);
+}
 
 }  // namespace
 
@@ -22,6 +30,8 @@
       return "unlisted";
     case loss_reason::leaving:
       return "leaving";
+    case loss_reason::evacuated:
+      return "evacuated";
     case loss_reason::unreachable:
       return "unreachable";
     case loss_reason::leaderless:
@@ -45,6 +55,7 @@
     return std::nullopt;
   }
   if (leader->info.is_leaving) return loss_reason::leaving;
+  if (directory.is_evacuated(*leader)) return loss_reason::evacuated;
   const bool is_silent = leader->failing_since && leader->failures >= options_.min_failures &&
                          now - *leader->failing_since >= options_.silence_timeout;
   if (is_silent) return loss_reason::unreachable;
@@ -54,7 +65,7 @@
 bool failover_controller::is_claim_pending(const target_directory& directory, time_point now) const {
   if (!claim_seen_ || now - *claim_seen_ >= options_.claim_timeout) return false;
   // A claim for a target that is no longer listed has no effect.
-  return is_promotable(directory.find(claimed_target_));
+  return is_promotable(directory, directory.find(claimed_target_));
 }
 
 std::optional<failover_action> failover_controller::abandon(time_point now) {
@@ -67,7 +78,9 @@
 std::optional<failover_action> failover_controller::on_timer(const target_directory& directory,
                                                              const failover_view& view, time_point now) {
   if (step_ == step::settling) {
-    if (now - step_started_ < options_.order_timeout) return std::nullopt;
+    // An order for a target that has been evacuated since is not waited for.
+    const bool is_over = now - step_started_ >= options_.order_timeout;
+    if (!is_over && !is_evacuated(directory, chosen_target_)) return std::nullopt;
     enter(step::idle, now);
   }
   if (step_ != step::idle) {
@@ -85,7 +98,8 @@
   survey_targets action;
   action.reason = *reason;
   for (const auto& [id, entry] : directory.targets()) {
-    if (is_promotable(&entry) && (*reason == loss_reason::leaderless || directory.primary() != &entry)) {
+    if (is_promotable(directory, &entry) &&
+        (*reason == loss_reason::leaderless || directory.primary() != &entry)) {
       action.targets.push_back(id);
     }
   }
@@ -118,7 +132,7 @@
     ++answered;
     // Another target is the primary already; the directory learns it from that target's answers.
     if (each.is_primary && directory.primary() == nullptr) return abandon(now);
-    if (!is_promotable(directory.find(each.target))) continue;
+    if (!is_promotable(directory, directory.find(each.target))) continue;
     if (best == nullptr || *each.received > *best->received) best = &each;
   }
   if (best == nullptr || answered < required_answers_) return abandon(now);
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -29,6 +29,7 @@
 enum class loss_reason : std::uint8_t {
   unlisted,     ///< Initial value; the controller never reports it.
   leaving,      ///< The primary is shutting down.
+  evacuated,    ///< The data centre of the primary is evacuated.
   unreachable,  ///< The primary does not answer.
   leaderless    ///< No primary is known.
 };
--- a/packages/sql/target_directory.cc
+++ b/packages/sql/target_directory.cc
@@ -147,15 +147,23 @@
   return it == targets_.end() ? nullptr : &it->second;
 }
 
+bool target_directory::is_blocked_by_evacuation(bool is_for_primary) const {
+  if (targets_.empty()) return false;
+  const auto* leader = primary();
+  if (is_for_primary && leader != nullptr) return is_evacuated(*leader);
+  return std::all_of(targets_.begin(), targets_.end(),
+                     [this](const auto& each) { return is_evacuated(each.second); });
+}
+
 bool target_directory::has_room(std::uint32_t extra) const {
-  return std::any_of(targets_.begin(), targets_.end(), [extra](const auto& each) {
-    return each.second.running < each.second.info.slots + extra;
+  return std::any_of(targets_.begin(), targets_.end(), [this, extra](const auto& each) {
+    return !is_evacuated(each.second) && each.second.running < each.second.info.slots + extra;
   });
 }
 
 bool target_directory::is_eligible(const target_entry& entry, const log_point& required,
                                    time_point now) const {
-  if (entry.info.is_leaving || entry.blocked_until > now) return false;
+  if (entry.info.is_leaving || is_evacuated(entry) || entry.blocked_until > now) return false;
   if (primary_ == entry.info.target) return true;
   if (entry.behind_until > now) return false;
   const bool is_point_recent = entry.point && now - entry.point_time < point_lifetime;
@@ -175,7 +183,7 @@
                                                     time_point now) const {
   if (!request.required_point) {
     const auto* leader = primary();
-    if (leader == nullptr || leader->blocked_until > now) return {};
+    if (leader == nullptr || is_evacuated(*leader) || leader->blocked_until > now) return {};
     return {leader->info.target};
   }
   std::vector<std::pair<int, target_id>> ranked;
--- a/packages/sql/target_directory.h
+++ b/packages/sql/target_directory.h
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "sql/evacuation_set.h"
 #include "sql/freshness.h"
 #include "sql/report_filter.h"
 #include "sql/statement.h"
@@ -24,10 +25,11 @@
   service_id service;
   std::string address;
   data_centre_id data_centre;
-  std::uint32_t slots = 1;  ///< Statements that the target runs at the same time.
-  bool is_leaving = false;  ///< The target is shutting down and takes no new work.
-  bool is_primary = false;  ///< Whether the target reports itself as the primary.
-  report_number number;     ///< Its start differs between two processes with the same id.
+  std::uint32_t slots = 1;    ///< Statements that the target runs at the same time.
+  bool is_leaving = false;    ///< The target is shutting down and takes no new work.
+  bool is_primary = false;    ///< Whether the target reports itself as the primary.
+  duration cold_remaining{};  ///< How much longer the target stays slow after its start; zero if it is warm.
+  report_number number;       ///< Its start differs between two processes with the same id.
 
   friend bool operator==(const target_announcement&, const target_announcement&) = default;
 };
@@ -73,6 +75,17 @@
   void on_behind(const target_id& target, time_point now);
   /// A connection to the target could not be opened, was lost, or gave no answer in time.
   void on_failure(const target_id& target, time_point now);
+  /// Sets the data centres whose targets get nothing.
+  void set_evacuated(const data_centre_set& data_centres) { evacuated_ = data_centres; }
+  /// @return whether a target is in a data centre that is evacuated.
+  [[nodiscard]] bool is_evacuated(const target_entry& entry) const {
+    return evacuated_.contains(entry.info.data_centre);
+  }
+  /// @param is_for_primary whether only the primary can run the statement.
+  /// @return whether an evacuation keeps every target that could run the statement from running it. False
+  ///   while no primary is known, because one elsewhere may be found at any moment.
+  [[nodiscard]] bool is_blocked_by_evacuation(bool is_for_primary) const;
+
   /// This VM or another one ordered the promotion of `target`.
   void on_promotion_ordered(const target_id& target, time_point now);
 
@@ -119,6 +132,7 @@
   std::optional<target_id> primary_;
   std::optional<time_point> leaderless_since_;
   freshness_log samples_;
+  data_centre_set evacuated_;
 };
 
 }  // namespace bulrushlift::sql
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -58,16 +58,18 @@
 }
 
 json proxy_settings_document(const proxy_description& proxy) {
-  return {{"vm", proxy.vm},
-          {"data_centre", proxy.data_centre},
-          {"caller_listen", proxy.callers},
-          {"readiness_listen", proxy.readiness},
-          {"peer_listen", proxy.peers},
-          {"metrics_listen", proxy.metrics},
-          {"store", proxy.store},
-          {"promotions", proxy.promotions},
-          {"drain_seconds", drain_s},
-          {"target_report_interval_ms", target_report_interval_ms}};
+  json document{{"vm", proxy.vm},
+                {"data_centre", proxy.data_centre},
+                {"caller_listen", proxy.callers},
+                {"readiness_listen", proxy.readiness},
+                {"peer_listen", proxy.peers},
+                {"metrics_listen", proxy.metrics},
+                {"store", proxy.store},
+                {"promotions", proxy.promotions},
+                {"drain_seconds", drain_s},
+                {"target_report_interval_ms", target_report_interval_ms}};
+  if (proxy.evacuation_bound_ms > 0) document["evacuation_bound_ms"] = proxy.evacuation_bound_ms;
+  return document;
 }
 
 }  // namespace bulrushlift
--- a/packages/standins/session_documents.h
+++ b/packages/standins/session_documents.h
@@ -44,6 +44,7 @@
   std::string metrics;
   std::string store;
   std::string promotions;
+  std::uint64_t evacuation_bound_ms = 0;  ///< 0 leaves the setting out.
 };
 [[nodiscard]] nlohmann::json proxy_settings_document(const proxy_description& proxy);
 
