--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -17,8 +17,10 @@
 #include "fleet/ownership_table.h"
 #include "net/event_loop.h"
 #include "platform/documents.h"
+#include "sql/cold_pacer.h"
 #include "sql/connection_share.h"
 #include "sql/environment.h"
+#include "sql/evacuation_set.h"
 #include "sql/target_directory.h"
 
 /// @file
@@ -41,9 +43,11 @@
   gateway_table gateways;                                ///< `entry_daemon`; covers the configured services.
   /// `statement_runner`; data centre of the last known primary of each service.
   std::map<service_id, data_centre_id> primary_data_centres;
-  /// `entry_daemon`; monitors of the primary of each service, first to start a failover first. As `monitors_of`
-  /// gave them at the last tick.
+  /// `entry_daemon`; monitors of the primary of each service, first to start a failover first. As
+  /// `monitors_of` gave them at the last tick.
   std::map<service_id, std::vector<vm_id>> monitors;
+  sql::evacuation_set evacuations;          ///< `evacuation_adapter`.
+  sql::cold_pacer cold{{}};                 ///< `entry_daemon` and `statement_runner`.
   bool is_target_list_trusted = false;      ///< `store_adapter`.
   drain_phase drain = drain_phase::none;    ///< `entry_daemon`.
   std::optional<time_point> last_deadline;  ///< `entry_daemon`; latest deadline of a statement of a session.
@@ -67,7 +71,8 @@
 ///   statements show first that the primary is lost.
 [[nodiscard]] std::vector<vm_id> monitors_of(const service_id& service, const shared_state& shared);
 
-/// @return the rank of VM `self` among the listed monitors of a service, 0 for the first; nothing if that VM does
+/// @return the rank of VM `self` among the listed monitors of a service, 0 for the first; nothing if that VM
+/// does
 ///   not monitor the primary of the service.
 [[nodiscard]] std::optional<std::size_t> monitor_rank(const service_id& service, const shared_state& shared,
                                                       const vm_id& self);
@@ -81,7 +86,9 @@
       : settings(std::move(values)),
         incarnation(start),
         random(seed),
-        shared(settings.configuration_bound, seed) {}
+        shared(settings.configuration_bound, seed) {
+    shared.cold = sql::cold_pacer{settings.cold};
+  }
 
   entry_settings settings;
   incarnation_id incarnation;
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "sql/cold_pacer.h"
 #include "sql/overflow_controller.h"
 
 /// @file
@@ -48,6 +49,9 @@
   duration configuration_bound = std::chrono::seconds{3};
   /// Interval of the reports that a target makes to the store.
   duration target_report_interval = std::chrono::milliseconds{1'200};
+  /// Within this time of its confirmation an evacuation is in force on all VMs; zero if none are watched.
+  duration evacuation_bound{};
+  sql::cold_allowance cold;  ///< What a cold target may get from all VMs together.
   vm_capacity capacity;
   /// What it costs to run a read in another data centre; reads stay in their own if it is not set.
   std::optional<sql::overflow_settings> crossing;
--- a/packages/entry/statement_admission.cc
+++ b/packages/entry/statement_admission.cc
@@ -44,15 +44,6 @@
   dispatch(item->route->service);
 }
 
-void statement_runner::run_pinned(const work_ptr& item) {
-  if (item->pinned.connection->io.is_open()) {
-    start(item, item->pinned.connection, std::nullopt);
-    return;
-  }
-  // The connection ended while the caller paused, and the target rolled the transaction back.
-  context_.loop.post([this, item] { fail(item, sql::caller_error::aborted, "the connection was lost"); });
-}
-
 void statement_runner::cancel(const work_ptr& item) {
   item->is_cancelled = true;
   const auto it = queues_.find(item->route->service);
@@ -176,10 +167,7 @@
   if (directory == context_.shared.services.end()) return false;
   const auto& targets = directory->second.targets();
   // The queue of a gateway is for the targets of its data centre, whatever room the others have.
-  const auto is_held = [this](const auto& each) {
-    const auto& info = each.second.info;
-    return holder_of(info.service, info.data_centre, context_.shared) == context_.settings.vm;
-  };
+  const auto is_held = [&](const auto& each) { return is_holder(directory->second, each.first); };
   const bool is_gateway =
       context_.shared.gateways.is_in_use() && std::any_of(targets.begin(), targets.end(), is_held);
   if (!is_gateway) return directory->second.has_room(extra_running);
--- a/packages/entry/statement_maintenance.cc
+++ b/packages/entry/statement_maintenance.cc
@@ -71,7 +71,11 @@
 void statement_runner::fail_expired() {
   const auto now = context_.loop.now();
   std::vector<work_ptr> expired;
+  std::vector<work_ptr> blocked;
   for (auto& [service, queue] : queues_) {
+    const auto evacuated =
+        queue.waiting.take_if([this](const work_ptr& each) { return is_blocked_by_evacuation(*each); });
+    blocked.insert(blocked.end(), evacuated.begin(), evacuated.end());
     const auto removed = queue.waiting.take_expired(now);
     expired.insert(expired.end(), removed.begin(), removed.end());
   }
@@ -82,6 +86,16 @@
     fail(each, each->is_in_transaction() ? sql::caller_error::aborted : sql::caller_error::busy,
          "no free slot in time");
   }
+  for (const auto& each : blocked) {
+    fail(each, each->is_in_transaction() ? sql::caller_error::aborted : sql::caller_error::busy,
+         "the data centre is evacuated");
+  }
+}
+
+bool statement_runner::is_blocked_by_evacuation(const work_item& item) const {
+  const auto directory = context_.shared.services.find(item.route->service);
+  return directory != context_.shared.services.end() &&
+         directory->second.is_blocked_by_evacuation(!required_point(item).has_value());
 }
 
 void statement_runner::probe_services() {
@@ -90,7 +104,8 @@
     const auto* primary_entry = directory.primary();
     record_primary(service, primary_entry);
     if (!needs_samples(service)) continue;
-    if (primary_entry == nullptr) {
+    // A VM that cannot read the store finds the successor of an evacuated primary by probes.
+    if (primary_entry == nullptr || directory.is_evacuated(*primary_entry)) {
       for (const auto& [id, entry] : directory.targets()) probe(service, id);
       continue;
     }
--- a/packages/entry/statement_move.cc
+++ b/packages/entry/statement_move.cc
@@ -15,6 +15,12 @@
   return entry != nullptr && entry->info.data_centre == *item.data_centre;
 }
 
+bool statement_runner::is_holder(const sql::target_directory& directory, const target_id& target) const {
+  const auto* entry = directory.find(target);
+  if (entry == nullptr) return false;
+  return holder_of(entry->info.service, entry->info.data_centre, context_.shared) == context_.settings.vm;
+}
+
 std::vector<target_id> statement_runner::candidates_for(const work_item& item) const {
   const auto directory = context_.shared.services.find(item.route->service);
   if (directory == context_.shared.services.end()) return {};
--- a/packages/entry/statement_placement.cc
+++ b/packages/entry/statement_placement.cc
@@ -36,7 +36,7 @@
   const auto failed = unreachable_vms();
   std::vector<sql::read_site> sites;
   for (const auto& [id, target] : directory->second.targets()) {
-    if (target.info.is_leaving) continue;
+    if (target.info.is_leaving || directory->second.is_evacuated(target)) continue;
     const auto& centre = target.info.data_centre;
     const bool is_primary = primary != nullptr && primary->info.target == id;
     const auto known = std::find_if(sites.begin(), sites.end(),
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -57,8 +57,10 @@
     std::erase_if(candidates, [&](const target_id& target) { return !is_in_data_centre(*item, target); });
   }
   // A target whose slots are all in use needs no further connection.
-  std::erase_if(candidates,
-                [&](const target_id& target) { return !directory->second.has_room(target, extra_running); });
+  std::erase_if(candidates, [&](const target_id& target) {
+    return !directory->second.has_room(target, extra_running) ||
+           !context_.shared.cold.can_send(target, is_holder(directory->second, target), now);
+  });
   if (candidates.empty()) return false;
   if (try_idle_connection(item, candidates, required)) return true;
   open_connection_for(item, candidates);
@@ -75,6 +77,7 @@
     if (target != candidates.front()) {
       static_cast<void>(pool_.open(item->route->service, candidates.front(), item->customer));
     }
+    static_cast<void>(context_.shared.cold.reserve(target, context_.loop.now()));
     start(item, connection, required);
     return true;
   }
@@ -241,7 +244,7 @@
       if (item->is_cancelled) {
         roll_back(connection);
       } else {
-        start(item, connection, std::nullopt);
+        run_pinned(item);
       }
     });
     return;
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -84,6 +84,10 @@
 
   /// Runs a statement on the connection of its transaction.
   void run_pinned(const work_ptr& item);
+  /// Runs it after a wait for a cold target.
+  void start_later(const work_ptr& item);
+  /// Closes the connection of the transaction and fails the statement, which was not sent, as aborted.
+  void end_pinned(const work_ptr& item, std::string_view reason);
   [[nodiscard]] bool has_free_slot(const service_id& service) const;
   [[nodiscard]] bool try_dispatch(const work_ptr& item);
   [[nodiscard]] bool try_idle_connection(const work_ptr& item, const std::vector<target_id>& candidates,
@@ -123,6 +127,7 @@
   void fail(const work_ptr& item, sql::caller_error kind, std::string_view reason);
   void finish(const work_ptr& item, work_result result);
   void fail_expired();
+  [[nodiscard]] bool is_blocked_by_evacuation(const work_item& item) const;
   void probe_services();
   /// Logs queue lengths and connection counts of the services that have waiting statements, once
   /// per second.
@@ -135,6 +140,8 @@
   void record_primary(const service_id& service, const sql::target_entry* primary_entry);
   /// @return whether the target is in the data centre that the statement was sent to.
   [[nodiscard]] bool is_in_data_centre(const work_item& item, const target_id& target) const;
+  /// @return whether this VM is the one that holds the connections to the target.
+  [[nodiscard]] bool is_holder(const sql::target_directory& directory, const target_id& target) const;
   /// @return the targets that can run the statement, in any data centre, best first.
   [[nodiscard]] std::vector<target_id> candidates_for(const work_item& item) const;
   /// @return whether the statement should run in another data centre than the one that it was sent to: no
--- a/packages/sql/dispatch_queue.h
+++ b/packages/sql/dispatch_queue.h
@@ -120,13 +120,13 @@
 
   /// Removes the statements that may wait no longer.
   [[nodiscard]] std::vector<Handle> take_expired(time_point now) {
-    std::vector<Handle> expired;
-    entries_.remove_if([&](const entry& each) {
-      if (each.statement.wait_end > now) return false;
-      expired.push_back(each.handle);
-      return true;
-    });
-    return expired;
+    return take_entries([now](const entry& each) { return each.statement.wait_end <= now; });
+  }
+
+  /// Removes the statements for whose handles the predicate holds.
+  template <std::predicate<const Handle&> Predicate>
+  [[nodiscard]] std::vector<Handle> take_if(const Predicate& is_taken) {
+    return take_entries([&](const entry& each) { return is_taken(each.handle); });
   }
 
   /// @return the statements that would be ahead of a new one on the same kind of target.
@@ -158,6 +158,17 @@
   [[nodiscard]] bool empty() const noexcept { return entries_.empty(); }
 
  private:
+  template <class Predicate>
+  [[nodiscard]] std::vector<Handle> take_entries(const Predicate& is_taken) {
+    std::vector<Handle> taken;
+    entries_.remove_if([&](const entry& each) {
+      if (!is_taken(each)) return false;
+      taken.push_back(each.handle);
+      return true;
+    });
+    return taken;
+  }
+
   using iterator = typename std::list<entry>::iterator;
 
   /// @return the overdue statement that arrived first among those less urgent than `priority`.
--- a/packages/sql/target_directory.cc
+++ b/packages/sql/target_directory.cc
@@ -166,12 +166,20 @@
 
 bool target_directory::has_room(const target_id& target, std::uint32_t extra) const {
   const auto* entry = find(target);
-  return entry != nullptr && entry->running < health_.allowed(target, extra);
+  return entry != nullptr && !is_evacuated(*entry) && entry->running < health_.allowed(target, extra);
+}
+
+bool target_directory::is_blocked_by_evacuation(bool is_for_primary) const {
+  if (targets_.empty()) return false;
+  const auto* leader = primary();
+  if (is_for_primary && leader != nullptr) return is_evacuated(*leader);
+  return std::all_of(targets_.begin(), targets_.end(),
+                     [this](const auto& each) { return is_evacuated(each.second); });
 }
 
 bool target_directory::has_room(std::uint32_t extra) const {
   const bool has_healthy = std::any_of(targets_.begin(), targets_.end(), [this](const auto& each) {
-    return !each.second.failing_since && !health_.is_ejected(each.first);
+    return !each.second.failing_since && !is_evacuated(each.second) && !health_.is_ejected(each.first);
   });
   return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
     const bool is_avoided = has_healthy && health_.is_ejected(each.first) && primary_ != each.first;
@@ -181,7 +189,7 @@
 
 bool target_directory::is_eligible(const target_entry& entry, const log_point& required,
                                    time_point now) const {
-  if (entry.info.is_leaving || entry.blocked_until > now) return false;
+  if (entry.info.is_leaving || is_evacuated(entry) || entry.blocked_until > now) return false;
   if (primary_ == entry.info.target) return true;
   if (entry.behind_until > now) return false;
   const bool is_point_recent = entry.point && now - entry.point_time < point_lifetime;
@@ -203,7 +211,7 @@
                                                     time_point now) const {
   if (!request.required_point) {
     const auto* leader = primary();
-    if (leader == nullptr || leader->blocked_until > now) return {};
+    if (leader == nullptr || is_evacuated(*leader) || leader->blocked_until > now) return {};
     return {leader->info.target};
   }
   std::vector<std::pair<int, target_id>> ranked;
