--- a/packages/entry/evacuation_path_test.cc
+++ b/packages/entry/evacuation_path_test.cc
@@ -120,6 +120,36 @@
   CHECK(targets_in_use(deployment, *writer, *second_reader, 1'000ms) == std::set<std::string>{"i-b"});
 }
 
+// Guards against statements that a VM sends after its start because it does not know the set yet, and against
+// an evacuation whose end is missed while the store is away.
+TEST_CASE("All VMs restart while the store is away, and the evacuation holds until it is taken back") {
+  session_deployment deployment{"evacuation_outage", 2, false, bound_ms};
+  {
+    const auto writer = deployment.session(0, "orders");
+    await_write(deployment, *writer);
+  }
+  deployment.evacuate("south");
+  deployment.await("new primary", [&] { return deployment.database->primary() == "i-b"; });
+  for (std::size_t vm = 0; vm < 2; ++vm) deployment.process(vm).kill();
+  deployment.platform->faults().is_refusing = true;
+  for (std::size_t vm = 0; vm < 2; ++vm) deployment.start_vm(vm);
+  const auto end = deployment.loop.now() + 500ms;
+  deployment.await("pause", [&] { return deployment.loop.now() > end; });
+  deployment.platform->faults().is_refusing = false;
+
+  const auto before = deployment.database->runs().size();
+  const auto writer = deployment.session(0, "orders");
+  const auto reader = deployment.session(1, "stock");
+  CHECK(targets_in_use(deployment, *writer, *reader, 500ms) == std::set<std::string>{"i-b"});
+  const auto& runs = deployment.database->runs();
+  CHECK(std::all_of(runs.begin() + static_cast<std::ptrdiff_t>(before), runs.end(),
+                    [](const database_run& each) { return each.target == "i-b"; }));
+
+  deployment.end_evacuation("south");
+  deployment.await("read in the south",
+                   [&] { return targets_in_use(deployment, *writer, *reader, 100ms).size() > 1; });
+}
+
 // Guards against statements that are sent because there is no other target left.
 TEST_CASE("With all data centres evacuated statements are refused and never sent") {
   session_deployment deployment{"evacuation_last", 2, false, bound_ms};
@@ -148,9 +178,11 @@
   session_deployment deployment{"evacuation_odd", 1, false, bound_ms};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(0, "stock");
-  deployment.platform->put_text("evacuations", "nowhere", "[[[");
+  const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
+  deployment.platform->put_text("evacuations", "nowhere", deep, ",\"created\":1e999");
   deployment.platform->put_text("evacuations", "a name", "17");
-  deployment.platform->put_text("evacuations", "south", "{\"zone\":-1");
+  deployment.platform->put_text("evacuations", "", "{}");
+  deployment.platform->put_text("evacuations", "south", "\"\xff\"");
 
   deployment.await("evacuation", [&] {
     return deployment.has_logged(0, {"evacuation_in_force", "\"south\""});
--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -96,6 +96,13 @@
                        target == database->primary(), ++last_report_}));
 }
 
+void session_deployment::announce_cold(const std::string& target, std::uint64_t remaining_ms) {
+  auto document = target_document({"ledger", address_of(target), target == "i-b" ? "north" : "south", "ready",
+                                   target == database->primary(), ++last_report_});
+  document["coldRemainingMs"] = remaining_ms;
+  put("servers", target, document);
+}
+
 void session_deployment::evacuate(const std::string& data_centre) {
   put("evacuations", data_centre, json::object());
 }
@@ -150,7 +157,9 @@
                                 uses_separate_store ? separate_platform->address() : platform->address(),
                                 platform->address(),
                                 evacuation_bound_ms_};
-  std::ofstream{path} << proxy_settings_document(proxy).dump();
+  auto settings = proxy_settings_document(proxy);
+  settings.update(more_settings);
+  std::ofstream{path} << settings.dump();
   auto started = child_process::start(
       {BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--entry", "--settings", path},
       fmt::format("{}/entry-{}.err", folder_, vm), fmt::format("{}/entry-{}.log", folder_, vm));
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -71,6 +71,9 @@
   std::unique_ptr<session_platform> separate_platform;
   std::unique_ptr<session_database> database;
 
+  /// Fields that are added to the settings of the VMs that are started from now on.
+  nlohmann::json more_settings = nlohmann::json::object();
+
   /// Runs the loop until the condition holds; fails the test after 60 s.
   /// @param what the event that is waited for; part of the failure message.
   void await(const std::string& what, const std::function<bool()>& condition);
@@ -86,6 +89,8 @@
   /// the key "key-other".
   void publish(std::uint64_t version, const std::vector<std::string>& shop_keys);
   void announce(const std::string& target, const std::string& state);
+  /// Announces a target that stays slow for a while.
+  void announce_cold(const std::string& target, std::uint64_t remaining_ms);
   /// Writes or removes the operators' entry for a data centre.
   void evacuate(const std::string& data_centre);
   void end_evacuation(const std::string& data_centre);
