Eject a failing target also where no other one is known

Cause: a gateway runs statements on the targets of its data centre only, so the comparison with others never ejected a target that failed part of its reads or left them without answers. Change: missing and failed answers count by themselves when nothing is known of the other targets; slowness still needs a comparison.

--- a/packages/sql/target_health.cc
+++ b/packages/sql/target_health.cc
@@ -195,7 +195,10 @@
     const auto& share = each.shares.at(index_of(reason));
     const auto others = others_median(
         target, [&](const state& other) -> const auto& { return other.shares.at(index_of(reason)); }, now);
-    if (!others || share.mean() < others_factor * *others) continue;
+    // A gateway runs statements on the targets of its data centre only, so it may know of no other one.
+    // Missing and failed answers then count by themselves; slow ones may come from the load.
+    if (!others && reason == ejection_reason::slow) continue;
+    if (share.mean() < others_factor * others.value_or(0)) continue;
     const auto latency = others_median(
         target, [](const state& other) -> const auto& { return other.read_latency; }, now);
     if (reason == ejection_reason::slow && (!latency || each.read_latency.mean() < others_factor * *latency))
@@ -204,7 +207,7 @@
     health_change inputs;
     inputs.reason = reason;
     inputs.share = share.mean();
-    inputs.others_share = *others;
+    inputs.others_share = others.value_or(0);
     eject(target, each, inputs, now);
     return;
   }
--- a/packages/sql/target_health_test.cc
+++ b/packages/sql/target_health_test.cc
@@ -76,6 +76,22 @@
   std::vector<health_change> changes_;
 };
 
+// Guards against a gateway, which runs statements on the targets of one data centre only, that goes on
+// sending reads to a failing one because it has nothing to compare it with.
+TEST_CASE("A failing target is ejected although nothing is known of the others, a slow one is not") {
+  health_test failing;
+  for (int i = 0; i < 40; ++i) {
+    failing.run(second, i % 2 == 0 ? attempt_end::failed : attempt_end::answered, fast);
+  }
+  CHECK(failing.count(health_event::ejected) == 1);
+  CHECK_FALSE(failing.is_reader(second));
+
+  health_test loaded;
+  for (int i = 0; i < 40; ++i) loaded.read(second, slow);
+  CHECK(loaded.count(health_event::ejected) == 0);
+  CHECK(loaded.is_reader(second));
+}
+
 TEST_CASE_METHOD(health_test, "Targets with equal answers stay in the order of their load") {
   const auto before = readers();
   read_everywhere(50);
