--- a/packages/sql/overflow_controller_test.cc
+++ b/packages/sql/overflow_controller_test.cc
@@ -26,11 +26,11 @@
 class overflow_test {
  public:
   /// @return the part of the reads that left during `span`, one read per millisecond.
-  double run(const std::vector<read_site>& sites, duration span) {
+  double run(const std::vector<read_site>& sites, duration span, duration target = objective) {
     int left = 0;
     int all = 0;
     for (const auto end = now_ + span; now_ < end; now_ += milliseconds{1}) {
-      last_ = controller_.decide({north, objective, sites}, random_(), now_);
+      last_ = controller_.decide({north, target, sites}, random_(), now_);
       ++all;
       if (last_.order.front() != north) ++left;
     }
@@ -69,6 +69,22 @@
 TEST_CASE_METHOD(overflow_test, "A wait that crossing shortens too little keeps reads at home") {
   CHECK(run({site(north, milliseconds{22}), site(south, milliseconds{2})}, seconds{20}) == 0);
   CHECK(last().reason == overflow_reason::not_worthwhile);
+  // Callers with a long objective accept the wait.
+  CHECK(run({site(north, milliseconds{150}), site(south, milliseconds{2})}, seconds{20}, seconds{1}) == 0);
+  CHECK(last().reason == overflow_reason::home_has_room);
+}
+
+// Guards against a share that changes with each small change of the wait, or never falls.
+TEST_CASE_METHOD(overflow_test, "The share holds while crossing pays a little, and falls when it does not") {
+  run({site(north, full), site(south, milliseconds{0})}, seconds{4});
+  const auto share = controller().take_report().share;
+  run({site(north, milliseconds{20}), site(south, milliseconds{0})}, seconds{4});
+  CHECK(controller().take_report().share == share);
+  run({site(north, milliseconds{12}), site(south, milliseconds{0})}, seconds{2});
+  CHECK(controller().take_report().share < share);
+  CHECK(controller().take_report().share > share / 2);
+  run({site(north, milliseconds{12}), site(south, milliseconds{0})}, seconds{10});
+  CHECK(controller().take_report().share == 0);
 }
 
 // Guards against callers who wait for targets that are gone.
@@ -87,6 +103,7 @@
 
 // Guards against an overflow that takes the slots from the callers at the destination.
 TEST_CASE_METHOD(overflow_test, "Reads stop leaving when the destination is full") {
+  CHECK(run({site(north, full), site(south, milliseconds{15})}, seconds{10}) == 0);
   run({site(north, full), site(south, milliseconds{0})}, seconds{10});
   CHECK(run({site(north, full), site(south, milliseconds{20})}, seconds{1}) == 0);
   CHECK(last().reason == overflow_reason::remote_full);
--- a/packages/sql/target_health_test.cc
+++ b/packages/sql/target_health_test.cc
@@ -83,6 +83,17 @@
   CHECK(count(health_event::ejected) == 0);
 }
 
+TEST_CASE_METHOD(health_test, "A slow or failed first read ejects nobody") {
+  for (int i = 0; i < 10; ++i) {
+    read(primary, fast);
+    read(third, fast);
+  }
+  read(second, seconds{2});
+  run(second, attempt_end::failed, fast);
+  run(second, attempt_end::unanswered, {});
+  CHECK(count(health_event::ejected) == 0);
+}
+
 // Guards against a replica that answers late while the others are in time.
 TEST_CASE_METHOD(health_test, "A slow replica is ejected, a lone slow statement ejects nobody") {
   read_everywhere(10);
@@ -126,8 +137,10 @@
   directory().on_started(second, work_kind::read, objective, now());
   CHECK_FALSE(is_reader(second));
   directory().on_finished(second);
-  for (int i = 0; i < 5; ++i) read(second, fast);
+  for (int i = 0; i < 4; ++i) read(second, fast);
   CHECK(count(health_event::probing) == 1);
+  CHECK(count(health_event::returned) == 0);
+  read(second, fast);
   CHECK(count(health_event::returned) == 1);
   directory().on_started(second);
   CHECK(is_reader(second));
