--- a/packages/sql/target_health_test.cc
+++ b/packages/sql/target_health_test.cc
@@ -99,6 +99,17 @@
   CHECK(count(health_event::ejected) == 0);
 }
 
+TEST_CASE_METHOD(health_test, "A slow or failed first read ejects nobody") {
+  for (int i = 0; i < 10; ++i) {
+    read(primary, fast);
+    read(third, fast);
+  }
+  read(second, seconds{2});
+  run(second, attempt_end::failed, fast);
+  run(second, attempt_end::unanswered, {});
+  CHECK(count(health_event::ejected) == 0);
+}
+
 // Guards against a replica that answers late while the others are in time.
 TEST_CASE_METHOD(health_test, "A slow replica is ejected, a lone slow statement ejects nobody") {
   read_everywhere(10);
@@ -142,8 +153,10 @@
   directory().on_started(second, work_kind::read, objective, now());
   CHECK_FALSE(is_reader(second));
   directory().on_finished(second);
-  for (int i = 0; i < 5; ++i) read(second, fast);
+  for (int i = 0; i < 4; ++i) read(second, fast);
   CHECK(count(health_event::probing) == 1);
+  CHECK(count(health_event::returned) == 0);
+  read(second, fast);
   CHECK(count(health_event::returned) == 1);
   directory().on_started(second);
   CHECK(is_reader(second));
@@ -220,6 +233,14 @@
   CHECK(count(health_event::limit_lifted) == 1);
 }
 
+// Guards against reads that go first to a target that looks idle because it refuses them.
+TEST_CASE_METHOD(health_test, "A replica whose slots are all used by others is ejected") {
+  read_everywhere(10);
+  for (int i = 0; i < 40; ++i) run(second, attempt_end::busy, fast);
+  CHECK_FALSE(is_reader(second));
+  CHECK(last_change().reason == ejection_reason::refusing);
+}
+
 TEST_CASE_METHOD(health_test, "Latency that grows with the own load lowers the limit") {
   for (int i = 0; i < 20; ++i) read(second, fast);
   for (int i = 0; i < 3; ++i) directory().on_started(second, work_kind::read, objective, now());
