Admit operations with the priority of their route

Cause: the budget controller can prefer urgent requests, but was told no priority. Change: budget_adapter and caller_session pass the priority of the route; the log line over_rate names it and the reserved tokens.

--- a/packages/entry/budget_adapter.cc
+++ b/packages/entry/budget_adapter.cc
@@ -82,10 +82,10 @@
   return since_start < 2 * context_.settings.rate_window;
 }
 
-void budget_adapter::admit(const customer_id& customer, admit_callback done) {
+void budget_adapter::admit(const customer_id& customer, int priority, admit_callback done) {
   budget_actions actions;
   const auto decision =
-      controller_.admit(customer, whole_tokens(1), context_.loop.now(), context_.random(), actions);
+      controller_.admit(customer, whole_tokens(1), context_.loop.now(), context_.random(), actions, priority);
   if (const auto* wait = std::get_if<waits_for_loan>(&decision)) {
     waiting_.emplace(wait->ticket, std::move(done));
     perform(actions);
@@ -96,7 +96,7 @@
 }
 
 void budget_adapter::log_refusal(const customer_id& customer, std::string_view request_id,
-                                 std::string_view database) {
+                                 std::string_view database, int priority) {
   context_.counters.counter("refused_over_rate_total").add();
   const auto budget = controller_.snapshot(customer, context_.loop.now()).value_or(budget_snapshot{});
   const auto& environment = context_.shared.environment;
@@ -108,6 +108,7 @@
   log_info("over_rate", {{"request_id", request_id},
                          {"customer", customer.str()},
                          {"database", database},
+                         {"priority", std::int64_t{priority}},
                          {"rate", limit.rate_per_second},
                          {"burst", limit.burst},
                          {"generation", environment ? environment->generation.value() : std::uint64_t{0}},
@@ -115,6 +116,7 @@
                          {"lent_tokens", to_tokens(budget.outstanding)},
                          {"borrowed_tokens", to_tokens(budget.borrowed)},
                          {"recent_demand", to_tokens(budget.demand)},
+                         {"reserved_tokens", to_tokens(budget.reserved)},
                          {"waiting", std::uint64_t{budget.waiting}}});
 }
 
--- a/packages/entry/budget_adapter.h
+++ b/packages/entry/budget_adapter.h
@@ -33,12 +33,15 @@
   void set_unreachable(std::set<vm_id> vms) { controller_.set_unreachable(std::move(vms)); }
 
   /// Logs a customer's refused operation with the inputs of the decision.
-  void log_refusal(const customer_id& customer, std::string_view request_id, std::string_view database);
+  /// @param priority that of the route; 0 is the most urgent.
+  void log_refusal(const customer_id& customer, std::string_view request_id, std::string_view database,
+                   int priority);
 
   /// Decides whether to admit one operation, which costs one token.
+  /// @param priority that of the route; urgent operations get tokens first while they are short.
   /// @param done called once: from within this call, or later when a loan arrives or the wait for
   ///   it times out.
-  void admit(const customer_id& customer, admit_callback done);
+  void admit(const customer_id& customer, int priority, admit_callback done);
 
  private:
   /// @return whether the previous process of this VM started less than two windows before this one.
--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -203,19 +203,21 @@
 void caller_session::admit(const sql::statement& statement, const access& allowed,
                            std::function<void()> next) {
   is_busy_ = true;
-  budgets_.admit(allowed.customer, [this, alive = is_alive_, customer = allowed.customer, id = statement.id,
-                                    next = std::move(next)](bool is_admitted) {
-    if (!*alive || has_ended_ || is_closing_) return;
-    if (is_admitted) {
-      next();
-      return;
-    }
-    is_busy_ = false;
-    is_operation_over_ = true;
-    budgets_.log_refusal(customer, id, database_);
-    answer_error(caller_error::busy, "over the customer's rate");
-    process();
-  });
+  const auto priority = allowed.route->priority;
+  budgets_.admit(allowed.customer, priority,
+                 [this, alive = is_alive_, customer = allowed.customer, priority, id = statement.id,
+                  next = std::move(next)](bool is_admitted) {
+                   if (!*alive || has_ended_ || is_closing_) return;
+                   if (is_admitted) {
+                     next();
+                     return;
+                   }
+                   is_busy_ = false;
+                   is_operation_over_ = true;
+                   budgets_.log_refusal(customer, id, database_, priority);
+                   answer_error(caller_error::busy, "over the customer's rate");
+                   process();
+                 });
 }
 
 void caller_session::on_begin(const sql::statement& statement) {
