Test processes against crowds of clients that do not behave

Cause: clients that nobody controls may send large messages on many connections, stop half-way, read no answers or open connections without end, and a process holds all of it.

--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -61,8 +61,10 @@
   return joined;
 }
 
-session_deployment::session_deployment(const std::string& name, std::size_t vms, bool has_separate_store)
+session_deployment::session_deployment(const std::string& name, std::size_t vms, bool has_separate_store,
+                                       json settings)
     : folder_(std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name),
+      settings_(std::move(settings)),
       has_separate_store_(has_separate_store) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
@@ -138,7 +140,9 @@
                                 address(ports.metrics),
                                 uses_separate_store ? separate_platform->address() : platform->address(),
                                 platform->address()};
-  std::ofstream{path} << proxy_settings_document(proxy).dump();
+  auto document = proxy_settings_document(proxy);
+  document.update(settings_);
+  std::ofstream{path} << document.dump();
   auto started = child_process::start(
       {BULRUSHLIFT_BINARY_DIR "/bin/bulrushliftd", "--entry", "--settings", path},
       fmt::format("{}/entry-{}.err", folder_, vm), fmt::format("{}/entry-{}.log", folder_, vm));
@@ -174,6 +178,14 @@
   }
 }
 
+bool session_deployment::is_ready(std::size_t vm) {
+  test_caller probe{loop, readiness_address(vm)};
+  probe.send("GET /-/readiness HTTP/1.1\r\nHost: vm\r\n\r\n");
+  const auto end = loop.now() + 1s;
+  while (loop.now() < end && !probe.is_closed() && !probe.has_received("\r\n")) loop.run_for(loop_step);
+  return probe.has_received("HTTP/1.1 200");
+}
+
 std::unique_ptr<test_caller> session_deployment::connect(std::size_t vm) {
   return std::make_unique<test_caller>(loop, net_address{"127.0.0.1", ports_.at(vm).callers});
 }
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -41,6 +41,8 @@
   /// @return how many answers have arrived that `ask` has not returned.
   [[nodiscard]] std::size_t unread_answers() const;
   [[nodiscard]] bool is_closed() const noexcept { return is_closed_; }
+  /// @return whether text has arrived that `ask` has not returned.
+  [[nodiscard]] bool has_received(std::string_view text) const { return input_.find(text) != input_.npos; }
 
  private:
   void on_bytes(std::string_view bytes) override { input_ += bytes; }
@@ -60,7 +62,9 @@
   /// @param vms number of proxies.
   /// @param has_separate_store whether the last VM uses a store of its own, so that it can lose
   ///   access to the store while the other VMs keep it.
-  session_deployment(const std::string& name, std::size_t vms, bool has_separate_store = false);
+  /// @param settings fields that replace or extend the settings of each proxy.
+  session_deployment(const std::string& name, std::size_t vms, bool has_separate_store = false,
+                     nlohmann::json settings = nlohmann::json::object());
 
   event_loop loop;
   std::unique_ptr<session_platform> platform;
@@ -78,6 +82,14 @@
   [[nodiscard]] std::size_t owner() const;
   [[nodiscard]] child_process& process(std::size_t vm) { return processes_.at(vm); }
   void start_vm(std::size_t vm);
+  [[nodiscard]] std::size_t vm_count() const noexcept { return ports_.size(); }
+  [[nodiscard]] net_address caller_address(std::size_t vm) const { return local(ports_.at(vm).callers); }
+  [[nodiscard]] net_address readiness_address(std::size_t vm) const { return local(ports_.at(vm).readiness); }
+  [[nodiscard]] net_address peer_address(std::size_t vm) const { return local(ports_.at(vm).peers); }
+  [[nodiscard]] net_address metrics_address(std::size_t vm) const { return local(ports_.at(vm).metrics); }
+  /// Sends one readiness probe over a new connection.
+  /// @return whether it was answered with 200 within a second.
+  [[nodiscard]] bool is_ready(std::size_t vm);
   /// @return whether the log of a VM has a line with all the texts.
   [[nodiscard]] bool has_logged(std::size_t vm, const std::vector<std::string>& texts) const;
   /// Writes the configuration, in which customer "shop" has the given keys and customer "other"
@@ -100,9 +112,11 @@
 
   void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
 
+  [[nodiscard]] static net_address local(std::uint16_t port) { return {"127.0.0.1", port}; }
   [[nodiscard]] std::string address_of(const std::string& target) const;
 
   std::string folder_;
+  nlohmann::json settings_;
   std::map<std::string, std::unique_ptr<fault_proxy>> target_proxies_;
   bool has_separate_store_ = false;
   std::uint64_t last_report_ = 0;  ///< Sequence number of the newest report of any target.
