--- a/packages/daemon/bulrushliftd_main.cc
+++ b/packages/daemon/bulrushliftd_main.cc
@@ -1,4 +1,5 @@
 #include <fmt/format.h>
+#include <malloc.h>
 
 #include <chrono>
 #include <cstdio>
@@ -42,6 +43,14 @@
       static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count())};
 }
 
+// Large buffers that are given back stay in the heap otherwise, between smaller ones.
+void return_large_buffers_at_once() {
+  constexpr int mmap_threshold_bytes = 64 << 10;
+  constexpr int trim_threshold_bytes = 256 << 10;
+  mallopt(M_MMAP_THRESHOLD, mmap_threshold_bytes);
+  mallopt(M_TRIM_THRESHOLD, trim_threshold_bytes);
+}
+
 int print_error(const error& reason) {
   fmt::print(stderr, "bulrushliftd: {}\n", reason.message);
   return exit_failed;
@@ -57,6 +66,7 @@
   logs.lines_per_second = options->log_lines_per_second;
   configure_logs(logs);
 
+  if (options->capacity.memory_bytes > 0) return_large_buffers_at_once();
   entry::entry_context context{*options, start_incarnation(), random_seed()};
   entry::entry_daemon proxy{context};
   if (const auto started = proxy.start(); !started) {
--- a/packages/entry/batch_plan.cc
+++ b/packages/entry/batch_plan.cc
@@ -89,7 +89,7 @@
   return {at(first), at(part_end(first))};
 }
 
-attempt_result evaluate_replies(const batch_plan& plan, const platform::batch_result& result) {
+attempt_result evaluate_replies(const batch_plan& plan, platform::batch_result result) {
   attempt_result attempt;
   attempt.is_connection_usable = result.is_complete;
   if (!result.replies.empty()) attempt.state = result.replies.back().state;
@@ -108,7 +108,9 @@
     attempt.outcome = result.may_have_been_sent ? attempt_outcome::unknown : attempt_outcome::not_run;
     return attempt;
   }
-  attempt.main = result.replies[plan.main];
+  attempt.main = std::move(result.replies[plan.main]);
+  attempt.is_over_memory = result.is_over_memory;
+  attempt.reservation = std::move(result.reservation);
   attempt.error = attempt.main.error;
   attempt.error_text = attempt.main.error_text;
   const bool is_refused = attempt.error && sql::is_not_run(*attempt.error);
--- a/packages/entry/batch_plan.h
+++ b/packages/entry/batch_plan.h
@@ -56,11 +56,14 @@
   std::string error_text;
   sql::target_reply main;  ///< Reply to the caller's statement; set if the outcome is `done`.
   sql::transaction_state state = sql::transaction_state::none;  ///< State after the last reply.
+  /// There was no memory for the rows, so they are missing.
+  bool is_over_memory = false;
+  std::shared_ptr<memory_reservation> reservation = nullptr;  ///< For the rows; null if they are small.
   bool is_connection_usable = false;  ///< Whether the connection may run further batches.
 };
 
 /// @param result the replies to all parts that were sent; its `may_have_been_sent` is about the part of the
 ///   caller's statement.
-[[nodiscard]] attempt_result evaluate_replies(const batch_plan& plan, const platform::batch_result& result);
+[[nodiscard]] attempt_result evaluate_replies(const batch_plan& plan, platform::batch_result result);
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -19,6 +19,26 @@
 // more violate the protocol.
 constexpr std::size_t max_pending_messages = 64;
 
+// A running statement is held as statement, as command and as bytes for the target or a peer.
+constexpr std::size_t copies_of_running = 3;
+
+std::size_t bytes_of(const sql::statement& value) {
+  return value.id.size() + value.text.size() + value.name.size() + value.argument.size() +
+         value.definition.shape.size();
+}
+
+std::size_t bytes_of(const platform::caller_message& message) {
+  auto sum = sizeof message;
+  if (const auto* statement = std::get_if<platform::run_statement>(&message)) {
+    sum += bytes_of(statement->statement);
+  } else if (const auto* opening = std::get_if<platform::open_session>(&message)) {
+    sum += opening->database.size() + opening->key.size();
+  } else if (const auto* malformed = std::get_if<platform::malformed_statement>(&message)) {
+    sum += malformed->id.size();
+  }
+  return sum;
+}
+
 }  // namespace
 
 caller_session::caller_session(entry_context& context, statement_router& router, budget_adapter& budgets,
@@ -28,11 +48,13 @@
       budgets_(budgets),
       on_end_(std::move(on_end)),
       connection_(context.loop, *this),
+      account_(context.resources.open(context.loop.now())),
       last_answer_(context.loop.now()) {}
 
 caller_session::~caller_session() {
   *is_alive_ = false;
   clean_up();
+  context_.resources.close(account_);
 }
 
 bool caller_session::is_idle() const noexcept {
@@ -50,6 +72,7 @@
     refuse_and_close(caller_error::too_large, "too many statements ahead of their answers");
     return;
   }
+  pending_bytes_ += bytes_of(message);
   pending_messages_.push_back(std::move(message));
   process();
 }
@@ -60,13 +83,21 @@
 
 void caller_session::process() {
   if (std::exchange(is_processing_, true)) return;
-  while (!is_busy_ && !has_ended_ && !pending_messages_.empty()) {
+  if (!is_busy_) running_bytes_ = 0;
+  const auto unsent_limit = context_.resources.shares().unsent_bytes;
+  while (!is_busy_ && !has_ended_ && !pending_messages_.empty() &&
+         connection_.unsent_bytes() <= unsent_limit) {
     const auto message = std::move(pending_messages_.front());
     pending_messages_.pop_front();
+    const auto bytes = bytes_of(message);
+    pending_bytes_ -= bytes;
+    running_bytes_ = bytes;
     is_operation_over_ = false;
     std::visit([this](const auto& each) { handle(each); }, message);
+    if (!is_busy_) running_bytes_ = 0;
   }
   is_processing_ = false;
+  update_flow();
   // The caller has not sent its next statement yet if it waits for each answer.
   if (is_operation_over_ && context_.shared.drain >= drain_phase::closing_sessions) close_after_operation();
 }
@@ -107,6 +138,13 @@
     refuse_and_close(*refusal, "session refused");
     return;
   }
+  if (!context_.resources.admits_session()) {
+    context_.counters.counter("sessions_refused_for_memory_total").add();
+    log_warning("session_refused", {{"database", database_}, {"error", "no memory for a session"}});
+    refuse_and_close(caller_error::busy, "no memory for a session");
+    return;
+  }
+  context_.resources.start(account_, allowed.customer, context_.loop.now());
   is_open_ = true;
   std::string lines;
   send_ready(lines, std::nullopt);
@@ -131,8 +169,7 @@
       on_rollback(statement);
       return;
     case statement_kind::set_value:
-      session_->values[statement.name] = statement.argument;
-      answer_complete("");
+      on_set_value(statement);
       return;
     case statement_kind::prepare:
       on_prepare(statement);
@@ -176,19 +213,6 @@
   }
 }
 
-void caller_session::on_prepare(const sql::statement& statement) {
-  session_->prepared[statement.name] = statement.definition;
-  answer_complete("");
-}
-
-void caller_session::on_deallocate(const sql::statement& statement) {
-  if (session_->prepared.erase(statement.name) == 0) {
-    answer_error(caller_error::undefined_name, statement.name);
-  } else {
-    answer_complete("");
-  }
-}
-
 void caller_session::on_rollback(const sql::statement& statement) {
   if (!transaction_) {
     answer_error(caller_error::malformed, "no transaction is open");
@@ -267,7 +291,9 @@
     close();
     return;
   }
-  admit(statement, allowed, [this, statement, allowed] { run(statement, allowed); });
+  // The callback is copied, and a statement may be large.
+  const auto kept = std::make_shared<const sql::statement>(statement);
+  admit(statement, allowed, [this, kept, allowed] { run(*kept, allowed); });
 }
 
 void caller_session::run(const sql::statement& statement, const access& allowed) {
@@ -286,10 +312,11 @@
     if (!item->pinned.is_set()) item->begin = transaction_->begin;
     transaction_->has_written = transaction_->has_written || item->is_write();
   }
-  item->done = [this, alive = is_alive_, statement](const work_result& result) {
-    if (*alive && !has_ended_ && !is_closing_) on_result(statement, result);
+  item->done = [this, alive = is_alive_](const work_result& result) {
+    if (*alive && !has_ended_ && !is_closing_) on_result(result);
   };
   is_busy_ = true;
+  running_bytes_ = copies_of_running * bytes_of(statement);
   running_ = item;
   router_.run(item);
 }
@@ -314,10 +341,16 @@
   transaction_.reset();
 }
 
-void caller_session::on_result(const sql::statement& statement, const work_result& result) {
-  const bool is_single_write = running_->is_write() && !transaction_;
-  running_ = nullptr;
+void caller_session::on_result(const work_result& result) {
+  const auto item = std::exchange(running_, nullptr);
+  const auto& statement = item->statement;
+  const bool is_single_write = item->is_write() && !transaction_;
   is_busy_ = false;
+  if (!result.error && !is_single_write && !has_room_for(result)) {
+    refuse_result(statement, result);
+    process();
+    return;
+  }
   if (transaction_) take_transaction_result(statement, result);
   is_operation_over_ = !transaction_;
   if (result.error) {
--- a/packages/entry/caller_session.h
+++ b/packages/entry/caller_session.h
@@ -31,6 +31,12 @@
   caller_session& operator=(const caller_session&) = delete;
   ~caller_session() override;
 
+  [[nodiscard]] account_id account() const noexcept { return account_; }
+  /// Reads again after the session waited for memory.
+  void resume() { update_flow(); }
+  /// Closes the connection at once. An open transaction is rolled back.
+  void close_by_force(close_reason reason);
+
   /// Takes over an accepted socket.
   /// @return whether the socket can be used.
   [[nodiscard]] bool adopt(int handle) { return connection_.adopt(handle); }
@@ -71,9 +77,17 @@
 
   void on_message(platform::caller_message message) override;
   void on_oversize() override;
+  void on_received(std::size_t bytes) override;
+  void on_sent() override;
   void on_disconnected() override;
 
   void process();
+  /// Counts what the session holds, and reads on only if its share allows it.
+  void update_flow();
+  /// Counts a new value or definition. @return whether the session may have it; if not, it is refused.
+  [[nodiscard]] bool grow_session(std::size_t added, std::size_t removed);
+  /// @return whether there is memory for the rows of an answer.
+  [[nodiscard]] bool has_room_for(const work_result& result);
   void handle(const platform::open_session& message);
   void handle(const platform::run_statement& message);
   void handle(const platform::malformed_statement& message);
@@ -83,6 +97,7 @@
   void on_begin(const sql::statement& statement);
   void on_rollback(const sql::statement& statement);
   void on_data(const sql::statement& statement);
+  void on_set_value(const sql::statement& statement);
   void on_prepare(const sql::statement& statement);
   void on_deallocate(const sql::statement& statement);
   void on_failed_transaction(const sql::statement& statement);
@@ -90,7 +105,8 @@
   [[nodiscard]] std::optional<sql::caller_error> authorize(access& out) const;
   void admit(const sql::statement& statement, const access& allowed, std::function<void()> next);
   void run(const sql::statement& statement, const access& allowed);
-  void on_result(const sql::statement& statement, const work_result& result);
+  void on_result(const work_result& result);
+  void refuse_result(const sql::statement& statement, const work_result& result);
   void take_transaction_result(const sql::statement& statement, const work_result& result);
   [[nodiscard]] sql::transaction_state state() const noexcept;
   [[nodiscard]] customer_id customer_of(const sql::environment& environment,
@@ -116,6 +132,10 @@
   end_callback on_end_;
   platform::caller_connection connection_;
   std::deque<platform::caller_message> pending_messages_;
+  account_id account_;
+  std::size_t pending_bytes_ = 0;
+  std::size_t running_bytes_ = 0;
+  std::size_t session_bytes_ = 0;
   std::string database_;
   std::string key_;
   std::shared_ptr<sql::session_state> session_ = std::make_shared<sql::session_state>();
--- a/packages/entry/caller_session_lifecycle.cc
+++ b/packages/entry/caller_session_lifecycle.cc
@@ -27,6 +27,7 @@
 void caller_session::end() {
   if (std::exchange(has_ended_, true)) return;
   clean_up();
+  context_.resources.close(account_);
   on_end_(*this);
 }
 
@@ -54,8 +55,11 @@
 void caller_session::close() {
   if (std::exchange(is_closing_, true)) return;
   pending_messages_.clear();
+  pending_bytes_ = 0;
   clean_up();
+  running_bytes_ = 0;
   connection_.close_when_sent();
+  update_flow();
   if (connection_.unsent_bytes() == 0) {
     end();
     return;
--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -28,6 +28,9 @@
 // connection limit.
 constexpr duration connection_limit_pause = milliseconds{150};
 
+// Session state above which a connection is not kept for other sessions.
+constexpr std::size_t max_idle_state_bytes = std::size_t{64} << 10U;
+
 }  // namespace
 
 connection_pool::connection_pool(entry_context& context, change_callback on_change)
@@ -152,7 +155,8 @@
   if (pool.all.size() >= sql::connection_share(target_limit(service), role_in(service)) &&
       !evict_idle(pool, held))
     return false;
-  auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
+  auto connection =
+      std::make_shared<pooled_connection>(context_.loop, &context_.resources, service, target, customer);
   connection->use_start = now;
   connection->batch_deadline = now + open_timeout;
   pool.all.push_back(connection);
@@ -198,7 +202,10 @@
 
 void connection_pool::release(const connection_ptr& connection) {
   connection->batch_deadline.reset();
-  if (!connection->io.is_open()) {
+  // An idle connection keeps the values and definitions that it has, and few sessions have large ones.
+  const bool is_large =
+      connection->state.bytes() > std::max(context_.resources.shares().small_bytes, max_idle_state_bytes);
+  if (!connection->io.is_open() || is_large) {
     discard(connection);
     return;
   }
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -31,7 +31,13 @@
 /// A connection of the pool.
 struct pooled_connection {
   pooled_connection(event_loop& loop, service_id service_name, target_id to, customer_id as)
-      : io(loop), service(std::move(service_name)), target(std::move(to)), customer(std::move(as)) {}
+      : pooled_connection(loop, nullptr, std::move(service_name), std::move(to), std::move(as)) {}
+  pooled_connection(event_loop& loop, resource_budget* budget, service_id service_name, target_id to,
+                    customer_id as)
+      : io(loop, budget, as),
+        service(std::move(service_name)),
+        target(std::move(to)),
+        customer(std::move(as)) {}
 
   platform::target_connection io;
   service_id service;
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -14,6 +14,7 @@
 #include "fleet/membership_controller.h"
 #include "fleet/ownership_table.h"
 #include "net/event_loop.h"
+#include "net/resource_budget.h"
 #include "platform/documents.h"
 #include "sql/environment.h"
 #include "sql/target_directory.h"
@@ -62,7 +63,8 @@
       : settings(std::move(values)),
         incarnation(start),
         random(seed),
-        shared(settings.configuration_bound, seed) {}
+        shared(settings.configuration_bound, seed),
+        resources({settings.capacity.memory_bytes, settings.capacity.descriptors}, settings.caller_times) {}
 
   entry_settings settings;
   incarnation_id incarnation;
@@ -70,6 +72,7 @@
   std::mt19937_64 random;
   metrics counters;
   shared_state shared;
+  resource_budget resources;  ///< What callers may use; counted by the components that hold it.
 };
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -1,5 +1,7 @@
 #include "entry/entry_daemon.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <csignal>
 #include <set>
@@ -26,6 +28,18 @@
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
+// Requests to these addresses have no body, and responses are read at once.
+http_limits probe_limits(const resource_shares& shares) {
+  http_limits limits;
+  limits.head_bytes = 8U << 10U;
+  limits.body_bytes = 4U << 10U;
+  limits.connections = shares.probe_connections;
+  limits.replaces_idle = true;
+  limits.pipelined_requests = 1;
+  limits.unsent_bytes = 0;
+  return limits;
+}
+
 store_adapter::observer make_store_observer(
     entry_context& context, budget_adapter& budgets, membership_adapter& membership, statement_runner& runner,
     std::function<void()> on_environment,
@@ -70,12 +84,13 @@
                  },
                  [this](const platform::promotion_record& record) { failover_.on_promotion_seen(record); })),
       failover_(context, runner_, store_),
+      guard_(context),
       caller_listener_(context.loop, [this](int handle) { accept(handle); }),
-      readiness_(context.loop, {},
+      readiness_(context.loop, probe_limits(context.resources.shares()),
                  [this](const http_request& /*request*/, const http_responder& respond) {
                    respond(answer_readiness());
                  }),
-      metrics_(context.loop, {},
+      metrics_(context.loop, probe_limits(context.resources.shares()),
                [this](const http_request& /*request*/, const http_responder& respond) {
                  http_response response;
                  response.body = context_.counters.exposition();
@@ -121,6 +136,10 @@
 }
 
 void entry_daemon::accept(int handle) {
+  if (!guard_.make_room()) {
+    ::close(handle);
+    return;
+  }
   auto session = std::make_unique<caller_session>(context_, router_, budgets_,
                                                   [this](caller_session& ended) { remove_session(ended); });
   auto* key = session.get();
@@ -129,6 +148,7 @@
     return;
   }
   sessions_.emplace(key, std::move(session));
+  guard_.add(*key);
 }
 
 void entry_daemon::remove_session(caller_session& session) {
@@ -137,6 +157,7 @@
   // This may run inside a callback of the session, so the session is destroyed in the next turn of
   // the event loop.
   std::shared_ptr<caller_session> last{std::move(node->second)};
+  guard_.remove(session);
   sessions_.erase(node);
   context_.loop.post([last] {});
 }
@@ -163,6 +184,7 @@
 void entry_daemon::on_tick() {
   tick_timer_.set(statement_runner::tick_interval, [this] { on_tick(); });
   runner_.on_tick();
+  guard_.on_tick();
   if (++ticks_ % ticks_per_slow_tick != 0) return;
   if (ticks_ % (ticks_per_slow_tick * slow_ticks_per_report) == 0) store_.log_calls();
   store_.on_tick();
--- a/packages/entry/entry_daemon.h
+++ b/packages/entry/entry_daemon.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "entry/budget_adapter.h"
+#include "entry/caller_guard.h"
 #include "entry/caller_session.h"
 #include "entry/entry_context.h"
 #include "entry/failover_adapter.h"
@@ -58,6 +59,7 @@
   membership_adapter membership_;
   store_adapter store_;
   failover_adapter failover_;
+  caller_guard guard_;
   tcp_listener caller_listener_;
   http_server readiness_;
   http_server metrics_;
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -88,6 +88,21 @@
   return std::nullopt;
 }
 
+/// Reads the optional block with time limits for callers that pause.
+std::optional<error> read_caller_times(const json& document, caller_time_limits& out) {
+  const auto it = document.find("caller_limits");
+  if (it == document.end()) return std::nullopt;
+  if (!it->is_object()) return invalid_field("caller_limits", "is not an object").value();
+  const std::pair<const char*, duration*> fields[] = {{"first_message_seconds", &out.first_message},
+                                                      {"message_pause_seconds", &out.message_pause},
+                                                      {"answer_pause_seconds", &out.answer_pause},
+                                                      {"memory_wait_seconds", &out.reservation_wait}};
+  for (const auto& [name, value] : fields) {
+    if (auto failure = read_duration<std::chrono::seconds>(*it, name, *value)) return failure;
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 result<entry_settings> parse_entry_settings(std::string_view text) {
@@ -116,6 +131,7 @@
   check(read_duration<std::chrono::milliseconds>(document, "target_report_interval_ms",
                                                  out.target_report_interval));
   check(read_capacity(document, out.capacity));
+  check(read_caller_times(document, out.caller_times));
   if (failure) return tl::unexpected<error>(std::move(*failure));
   if (const auto it = document.find("log_level"); it != document.end()) {
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -9,6 +9,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/resource_budget.h"
 
 /// @file
 /// Settings of a proxy that serves sessions on the operators' platform. The settings file is JSON
@@ -47,6 +48,7 @@
   /// Interval of the reports that a target makes to the store.
   duration target_report_interval = std::chrono::milliseconds{1'200};
   vm_capacity capacity;
+  caller_time_limits caller_times;
   log_level level = log_level::info;
   /// Maximum number of log lines per second of each event. Examples of a frequent event, such as a
   /// refusal, are enough for an investigation.
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -47,6 +47,20 @@
   CHECK(negative.error().message == "link_mbps: is not a number of at least 0");
 }
 
+// Guards against time limits that close a caller at once.
+TEST_CASE("Time limits of callers are positive and have defaults") {
+  CHECK(parse_entry_settings(settings_text())->caller_times == caller_time_limits{});
+  const auto parsed = parse_entry_settings(
+      settings_text(R"("caller_limits": {"message_pause_seconds": 5}, "vm": "entry-1")"));
+  REQUIRE(parsed);
+  CHECK(parsed->caller_times.message_pause == std::chrono::seconds{5});
+  CHECK(parsed->caller_times.answer_pause == caller_time_limits{}.answer_pause);
+  const auto zero = parse_entry_settings(
+      settings_text(R"("caller_limits": {"first_message_seconds": 0}, "vm": "entry-1")"));
+  REQUIRE_FALSE(zero);
+  CHECK(zero.error().message == "first_message_seconds: is not a positive number");
+}
+
 TEST_CASE("Wrong settings name the field") {
   const auto missing = parse_entry_settings(settings_text(R"("other": 1)"));
   REQUIRE_FALSE(missing);
--- a/packages/entry/peer_adapter.cc
+++ b/packages/entry/peer_adapter.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -23,13 +24,23 @@
   return options;
 }
 
+peer_server_limits server_limits(const resource_shares& shares) {
+  peer_server_limits limits;
+  limits.connections = std::min(limits.connections, shares.peer_connections);
+  limits.input_bytes = shares.peer_input_bytes;
+  return limits;
+}
+
 }  // namespace
 
 peer_adapter::peer_adapter(entry_context& context)
     : context_(context),
-      server_(context.loop, {}, [this](const peer::envelope_t& message, const peer_responder& respond) {
-        on_message(message, respond);
-      }) {}
+      server_(context.loop, server_limits(context.resources.shares()),
+              [this](const peer::envelope_t& message, const peer_responder& respond) {
+                on_message(message, respond);
+              }) {
+  server_.on_queue_change([this](std::size_t bytes) { context_.resources.hold_replies(bytes); });
+}
 
 result<net_address> peer_adapter::listen() { return server_.listen(context_.settings.peer_listen); }
 
--- a/packages/entry/statement_rollback.cc
+++ b/packages/entry/statement_rollback.cc
@@ -1,6 +1,6 @@
 #include "entry/statement_runner.h"
 
-// Rollback of transactions by the statement runner.
+// Rollback of transactions by the statement runner, and statements whose rows are dropped.
 
 namespace bulrushlift::entry {
 namespace {
@@ -38,4 +38,17 @@
   });
 }
 
+void statement_runner::on_dropped_rows(const work_ptr& item,
+                                       const connection_pool::connection_ptr& connection,
+                                       const attempt_result& attempt) {
+  context_.counters.counter("answers_dropped_total").add();
+  return_connection(connection, attempt);
+  const bool is_single_write = item->is_write() && !item->is_in_transaction();
+  fail(item,
+       is_single_write             ? sql::caller_error::outcome_unknown
+       : item->is_in_transaction() ? sql::caller_error::aborted
+                                   : sql::caller_error::busy,
+       "no memory for the answer");
+}
+
 }  // namespace bulrushlift::entry
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -6,6 +6,7 @@
 
 #include "base/log.h"
 #include "entry/statement_wire.h"
+#include "peer_protocol/frame.h"
 
 namespace bulrushlift::entry {
 namespace {
@@ -27,13 +28,34 @@
 constexpr duration idle_limit_allowance = milliseconds{500};
 constexpr duration default_idle_limit = std::chrono::seconds{3};
 
-work_result aborted(std::string_view reason) {
+// A relayed statement is held as statement, as command and as bytes for the target.
+constexpr std::size_t copies_of_statement = 3;
+
+// A frame has room for this much data besides the names, the route and the encoding.
+constexpr std::size_t max_relayed_bytes = max_frame_bytes - (std::size_t{256} << 10U);
+
+std::size_t bytes_of(const std::vector<std::string>& rows) {
+  std::size_t sum = 0;
+  for (const auto& each : rows) sum += each.size() + sizeof(std::int64_t);
+  return sum;
+}
+
+std::size_t bytes_of(const work_item& item) {
+  auto sum = item.statement.text.size() + item.statement.argument.size();
+  if (item.prepared) sum += item.prepared->shape.size();
+  for (const auto& [name, value] : item.session->values) sum += name.size() + value.size();
+  return sum;
+}
+
+work_result refused(caller_error kind, std::string_view reason) {
   work_result value;
-  value.error = caller_error::aborted;
+  value.error = kind;
   value.reason = std::string{reason};
   return value;
 }
 
+work_result aborted(std::string_view reason) { return refused(caller_error::aborted, reason); }
+
 }  // namespace
 
 statement_router::statement_router(entry_context& context, peer_adapter& peers, statement_runner& runner)
@@ -94,6 +116,14 @@
 
 void statement_router::relay(const work_ptr& item, const vm_id& owner) {
   const auto remaining = item->deadline - context_.loop.now();
+  if (bytes_of(*item) > max_relayed_bytes) {
+    // A longer frame would end the link, with all that runs over it.
+    context_.loop.post(
+        [this, item, kind = item->is_in_transaction() ? caller_error::aborted : caller_error::busy] {
+          if (!item->is_cancelled) fail(item, kind, "too large to relay");
+        });
+    return;
+  }
   ++item->relays;
   peer::envelope_t message;
   message.__set_statement_request(encode_request(*item, context_.settings.vm, remaining));
@@ -162,6 +192,13 @@
   }
 }
 
+bool statement_router::reserve_for_peer(work_item& item) const {
+  const auto bytes = bytes_of(item);
+  if (bytes <= context_.resources.shares().small_bytes) return true;
+  item.reservation = std::make_shared<memory_reservation>(&context_.resources, item.customer);
+  return item.reservation->grow_to(bytes * copies_of_statement, context_.loop.now());
+}
+
 void statement_router::run_for_peer(const peer::statement_request_t& wire, const peer_responder& respond) {
   const auto now = context_.loop.now();
   auto item = decode_request(wire, now);
@@ -183,6 +220,16 @@
       return;
     }
   }
+  if (!reserve_for_peer(**item)) {
+    context_.counters.counter("relays_refused_for_memory_total").add();
+    if ((*item)->pinned.connection) {
+      relayed_.remove(to.transaction);
+      runner_.roll_back((*item)->pinned.connection, sql::statement{});
+    }
+    const auto kind = (*item)->is_in_transaction() ? caller_error::aborted : caller_error::busy;
+    reply_to_peer({to.sender, to.customer, 0, respond}, refused(kind, "no memory for the statement"));
+    return;
+  }
   (*item)->done = [this, to, reply_deadline = (*item)->deadline + reply_allowance](const work_result& value) {
     --relayed_statements_;
     on_relayed_result(to, reply_deadline, value);
@@ -204,6 +251,12 @@
 
 void statement_router::reply_to_peer(const reply_address& to, work_result value) {
   auto number = to.transaction;
+  if (bytes_of(value.reply.rows) > max_relayed_bytes) {
+    const bool is_in_transaction = value.transaction.connection || number != 0;
+    if (value.transaction.connection) runner_.roll_back(value.transaction.connection, sql::statement{});
+    value = refused(is_in_transaction ? caller_error::aborted : caller_error::outcome_unknown,
+                    "the answer is too large to relay");
+  }
   if (value.transaction.connection) {
     const auto now = context_.loop.now();
     if (number == 0) {
--- a/packages/entry/statement_router.h
+++ b/packages/entry/statement_router.h
@@ -61,6 +61,8 @@
   void fail(const work_ptr& item, sql::caller_error kind, std::string_view reason);
 
   void on_message(const peer::envelope_t& message, const peer_responder& respond);
+  /// Reserves memory for a statement of another VM. @return whether it may run.
+  [[nodiscard]] bool reserve_for_peer(work_item& item) const;
   void run_for_peer(const peer::statement_request_t& wire, const peer_responder& respond);
   void on_relayed_result(const reply_address& to, time_point reply_deadline, const work_result& value);
   void reply_to_peer(const reply_address& to, work_result value);
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -187,24 +188,23 @@
 void statement_runner::send_part(const attempt_ptr& attempt) {
   attempt->connection->io.run(
       attempt->plan.part(attempt->replies.size()),
-      [this, attempt](const platform::batch_result& result) { on_part(attempt, result); });
+      [this, attempt](platform::batch_result result) { on_part(attempt, std::move(result)); });
 }
 
-void statement_runner::on_part(const attempt_ptr& attempt, const platform::batch_result& result) {
+void statement_runner::on_part(const attempt_ptr& attempt, platform::batch_result result) {
   const auto& plan = attempt->plan;
   const bool is_main_part = plan.part_end(attempt->replies.size()) > plan.main;
   const bool has_failed = !result.is_complete ||
                           std::any_of(result.replies.begin(), result.replies.end(),
                                       [](const sql::target_reply& each) { return each.error.has_value(); });
-  attempt->replies.insert(attempt->replies.end(), result.replies.begin(), result.replies.end());
+  std::move(result.replies.begin(), result.replies.end(), std::back_inserter(attempt->replies));
   if (!is_main_part && !has_failed && !attempt->item->is_cancelled) {
     send_part(attempt);
     return;
   }
-  auto whole = result;
-  whole.replies = attempt->replies;
-  whole.may_have_been_sent = is_main_part && result.may_have_been_sent;
-  on_batch(attempt->item, attempt->connection, plan, attempt->sent, whole);
+  result.replies = std::move(attempt->replies);
+  result.may_have_been_sent = is_main_part && result.may_have_been_sent;
+  on_batch(attempt->item, attempt->connection, plan, attempt->sent, std::move(result));
 }
 
 void statement_runner::record_replies(const work_item& item, const pooled_connection& connection,
@@ -230,11 +230,10 @@
 }
 
 void statement_runner::on_batch(const work_ptr& item, const connection_pool::connection_ptr& connection,
-                                const batch_plan& plan, time_point sent,
-                                const platform::batch_result& result) {
+                                const batch_plan& plan, time_point sent, platform::batch_result result) {
   connection->batch_deadline.reset();
   record_replies(*item, *connection, plan, sent, result);
-  const auto attempt = evaluate_replies(plan, result);
+  auto attempt = evaluate_replies(plan, std::move(result));
   if (attempt.error == target_error::read_only) {
     context_.shared.services[connection->service].on_read_only(connection->target, context_.loop.now());
   }
@@ -244,7 +243,7 @@
   }
   switch (attempt.outcome) {
     case attempt_outcome::done:
-      on_done(item, connection, attempt);
+      on_done(item, connection, std::move(attempt));
       return;
     case attempt_outcome::not_run:
       on_refused(item, connection, attempt);
@@ -268,9 +267,14 @@
 }
 
 void statement_runner::on_done(const work_ptr& item, const connection_pool::connection_ptr& connection,
-                               const attempt_result& attempt) {
+                               attempt_result attempt) {
+  if (attempt.is_over_memory && !attempt.error) {
+    on_dropped_rows(item, connection, attempt);
+    return;
+  }
   work_result result;
-  result.reply = attempt.main;
+  result.reply = std::move(attempt.main);
+  result.reservation = attempt.reservation;
   if (attempt.error) {
     return_connection(connection, attempt);
     const bool may_be_committed = item->is_commit() || (!item->is_in_transaction() && item->is_write());
@@ -340,10 +344,7 @@
   const auto reason = sql::name_of(attempt.error.value_or(target_error::connection_lost));
   const bool is_commit_sent = item->is_commit() && item->pinned.is_set();
   const bool is_write_sent = item->is_write() && !item->is_in_transaction();
-  if (is_commit_sent || is_write_sent) {
-    fail(item, caller_error::outcome_unknown, reason);
-    return;
-  }
+  if (is_commit_sent || is_write_sent) return fail(item, caller_error::outcome_unknown, reason);
   // The target rolled the transaction back when the connection was closed, so the first statement
   // of a transaction can be retried.
   if (!item->pinned.is_set() && retry(item, target, duration::zero())) return;
--- a/packages/entry/statement_runner.h
+++ b/packages/entry/statement_runner.h
@@ -80,16 +80,19 @@
   void start(const work_ptr& item, const connection_pool::connection_ptr& connection,
              const std::optional<log_point>& required);
   void send_part(const attempt_ptr& attempt);
-  void on_part(const attempt_ptr& attempt, const platform::batch_result& result);
+  void on_part(const attempt_ptr& attempt, platform::batch_result result);
   void on_batch(const work_ptr& item, const connection_pool::connection_ptr& connection,
-                const batch_plan& plan, time_point sent, const platform::batch_result& result);
+                const batch_plan& plan, time_point sent, platform::batch_result result);
   void record_replies(const work_item& item, const pooled_connection& connection, const batch_plan& plan,
                       time_point sent, const platform::batch_result& result);
   void on_refused(const work_ptr& item, const connection_pool::connection_ptr& connection,
                   const attempt_result& attempt);
   void on_unknown_outcome(const work_ptr& item, const target_id& target, const attempt_result& attempt);
   void on_done(const work_ptr& item, const connection_pool::connection_ptr& connection,
-               const attempt_result& attempt);
+               attempt_result attempt);
+  /// The statement ran, but there was no memory for its rows.
+  void on_dropped_rows(const work_ptr& item, const connection_pool::connection_ptr& connection,
+                       const attempt_result& attempt);
   void return_connection(const connection_pool::connection_ptr& connection, const attempt_result& attempt);
   [[nodiscard]] bool retry(const work_ptr& item, const target_id& failed, duration pause);
   void enqueue(const work_ptr& item);
--- a/packages/entry/work_item.h
+++ b/packages/entry/work_item.h
@@ -32,6 +32,7 @@
   std::string reason = {};            ///< Reason of the error, for the caller and the log.
   sql::target_reply reply = {};       ///< Rows, signature and log point; set if there is no error.
   open_transaction transaction = {};  ///< The transaction if it is open after the statement.
+  std::shared_ptr<memory_reservation> reservation = nullptr;  ///< For the rows; null if they are small.
 };
 
 /// A statement with all that is needed to run it, and the progress of its attempts.
@@ -62,6 +63,8 @@
   bool needs_primary = false;                               ///< Set if no replica can serve it.
   bool is_opening = false;                                  ///< A connection is being opened for it.
   bool is_cancelled = false;                                ///< The caller disconnected.
+  /// Memory for a large statement of another VM; null for others, whose sessions count them.
+  std::shared_ptr<memory_reservation> reservation = nullptr;
 
   /// @return whether the statement itself may change data.
   [[nodiscard]] bool is_write() const noexcept {
--- a/packages/net/http_server.cc
+++ b/packages/net/http_server.cc
@@ -61,8 +61,12 @@
   }
 
   void on_progress() override {
+    const auto self = shared_from_this();
     last_progress_ = server_->loop.now();
     finish_if_sent();
+    if (server_ == nullptr || is_reading_over_ || is_processing_) return;
+    process_input();
+    if (server_ != nullptr) stream_.pause_reading(is_at_limit());
   }
 
   void on_closed(const error& /*reason*/) override { close(); }
@@ -77,7 +81,9 @@
     --server_->pending;
     last_progress_ = server_->loop.now();
     flush();
-    if (server_ != nullptr && !is_processing_) process_input();
+    if (server_ == nullptr || is_processing_) return;
+    process_input();
+    if (server_ != nullptr) stream_.pause_reading(is_at_limit());
   }
 
   [[nodiscard]] bool is_awaited(std::uint64_t sequence) const {
@@ -142,6 +148,9 @@
   }
 
   [[nodiscard]] std::size_t queued_bytes() const noexcept { return stream_.queued_bytes(); }
+  [[nodiscard]] time_point last_progress() const noexcept { return last_progress_; }
+  /// @return whether the connection may be closed for a new one: no answer of the server is due.
+  [[nodiscard]] bool is_replaceable() const noexcept { return slots_.empty(); }
 
   /// The server is gone: closes without a report.
   void abandon() {
@@ -168,7 +177,7 @@
     std::size_t used = 0;
     is_processing_ = true;
     while (used < bytes.size() && server_ != nullptr && !is_reading_over_) {
-      if (slots_.size() >= server_->limits.pipelined_requests) break;
+      if (is_at_limit()) break;
       if (!parser_.is_started()) last_progress_ = server_->loop.now();
       const auto n = parser_.feed(bytes.substr(used));
       if (!n) {
@@ -181,11 +190,17 @@
     }
     is_processing_ = false;
     if (server_ != nullptr) {
-      stream_.pause_reading(!is_reading_over_ && slots_.size() >= server_->limits.pipelined_requests);
+      stream_.pause_reading(is_at_limit());
     }
     return used;
   }
 
+  /// @return whether no further request is handled for now.
+  [[nodiscard]] bool is_at_limit() const noexcept {
+    return !is_reading_over_ && (slots_.size() >= server_->limits.pipelined_requests ||
+                                 stream_.queued_bytes() > server_->limits.unsent_bytes);
+  }
+
   void pass_on(http_request request) {
     request.connection = id_;
     const auto sequence = first_sequence_ + slots_.size();
@@ -279,7 +294,16 @@
   });
 }
 
+void replace_idle(const server_state& state) {
+  std::shared_ptr<server_connection> oldest;
+  for (const auto& [id, each] : state.connections) {
+    if (each->is_replaceable() && (!oldest || each->last_progress() < oldest->last_progress())) oldest = each;
+  }
+  if (oldest) oldest->close();
+}
+
 void accept_connection(server_state& state, int handle) {
+  if (state.limits.replaces_idle && state.connections.size() >= state.limits.connections) replace_idle(state);
   const http_connection_id id{++state.last_id};
   auto connection = std::make_shared<server_connection>(state, id);
   if (!connection->adopt(handle) || state.connections.size() >= state.limits.connections) {
--- a/packages/net/http_server.h
+++ b/packages/net/http_server.h
@@ -27,10 +27,15 @@
   std::uint32_t head_bytes = 16U << 10U;
   std::uint64_t body_bytes = 1U << 20U;
   std::size_t connections = 20'000;
+  /// Whether a new connection at that limit replaces the one that has made no progress for the longest time
+  /// and waits for no answer. Otherwise the new one is closed.
+  bool replaces_idle = false;
   /// Requests of one connection that may wait for their answers; reading pauses there.
   std::size_t pipelined_requests = 16;
   /// Unsent answer bytes of one connection, above which it is closed.
   std::size_t queued_bytes = 4U << 20U;
+  /// Unsent answer bytes of one connection, above which no further request of it is handled.
+  std::size_t unsent_bytes = 4U << 20U;
   /// Time without a request and without an answer that waits or is being sent.
   duration idle_time = std::chrono::seconds{120};
   /// Time from the first byte of a request to its last byte.
--- a/packages/net/peer_link.h
+++ b/packages/net/peer_link.h
@@ -95,6 +95,10 @@
   std::size_t connections = 4'096;
   /// Unsent bytes of one connection, above which it is closed.
   std::size_t queued_bytes = 16U << 20U;
+  /// Bytes of incomplete messages of all connections, above which the connection with most of them is closed.
+  std::size_t input_bytes = std::size_t{4} << 30U;
+  /// Time without progress of an incomplete message, and without a first message.
+  duration message_time = std::chrono::seconds{10};
 };
 
 /// The answering side of all links to this process.
@@ -102,6 +106,8 @@
  public:
   /// Gets every message but probes, which the server replies to itself.
   using handler = std::function<void(const peer::envelope_t&, peer_responder)>;
+  /// Gets the unsent bytes of all connections.
+  using queue_callback = std::function<void(std::size_t)>;
 
   peer_server(event_loop& loop, peer_server_limits limits, handler on_message);
   peer_server(const peer_server&) = delete;
@@ -111,6 +117,9 @@
   /// @return the bound address, or `io_error`.
   [[nodiscard]] result<net_address> listen(const net_address& address);
 
+  /// Sets the callback for each change of the unsent bytes.
+  void on_queue_change(queue_callback callback);
+
   [[nodiscard]] std::size_t connection_count() const noexcept;
 
  private:
--- a/packages/net/tcp_stream.cc
+++ b/packages/net/tcp_stream.cc
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -91,6 +92,10 @@
     if (is_open()) update_mask();
   }
 
+  void set_read_limit(std::size_t bytes) {
+    read_limit_ = std::clamp<std::size_t>(bytes, 1, read_buffer_bytes);
+  }
+
   void shutdown_write() {
     if (is_open()) socket_.close_writer();
   }
@@ -112,7 +117,7 @@
     if (is_connecting_) return finish_connect();
     if (is_paused_ || !is_open()) return 0;
     auto& buffer = read_buffer();
-    const auto n = socket_.recv(buffer.data(), buffer.size());
+    const auto n = socket_.recv(buffer.data(), read_limit_);
     if (n > 0) {
       if (observer_ != nullptr) observer_->on_bytes({buffer.data(), static_cast<std::size_t>(n)});
       return 0;
@@ -226,6 +231,7 @@
   std::string queue_;
   std::size_t queue_start_ = 0;
   std::uint64_t sent_bytes_ = 0;
+  std::size_t read_limit_ = read_buffer_bytes;
   bool is_registered_ = false;
   bool is_connecting_ = false;
   bool is_connected_ = false;
@@ -241,6 +247,7 @@
 bool tcp_stream::adopt(int handle) { return handler_->adopt(handle); }
 void tcp_stream::write(std::string_view bytes) { handler_->write(bytes); }
 void tcp_stream::pause_reading(bool is_paused) { handler_->pause_reading(is_paused); }
+void tcp_stream::set_read_limit(std::size_t bytes) { handler_->set_read_limit(bytes); }
 void tcp_stream::read_available() {
   if (handler_->is_connected()) handler_->handle_input(handler_->get_handle());
 }
--- a/packages/net/tcp_stream.h
+++ b/packages/net/tcp_stream.h
@@ -50,6 +50,9 @@
   /// Stops or resumes `on_bytes`.
   void pause_reading(bool is_paused);
 
+  /// Sets how many bytes `on_bytes` gets at most.
+  void set_read_limit(std::size_t bytes);
+
   /// Passes on bytes that have arrived but were not read yet. Call before closing an idle connection.
   void read_available();
 
--- a/packages/peer_protocol/frame.h
+++ b/packages/peer_protocol/frame.h
@@ -19,8 +19,8 @@
 namespace bulrushlift {
 
 /// Size of the largest message that a peer may send, without the length; large enough
-/// for a document of 1 MB.
-inline constexpr std::size_t max_frame_bytes = 2U << 20U;
+/// for a document of 1 MB, and for a statement of 1 MiB with session values of 2 MiB.
+inline constexpr std::size_t max_frame_bytes = 4U << 20U;
 
 /// @return the encoded message without a length, as sent in a datagram.
 [[nodiscard]] std::string encode_envelope(const peer::envelope_t& message);
@@ -43,6 +43,9 @@
   ///   long or malformed. The stream must be closed after an error.
   [[nodiscard]] result<std::vector<peer::envelope_t>> feed(std::string_view bytes);
 
+  /// @return the bytes of an incomplete message that are buffered.
+  [[nodiscard]] std::size_t buffered_bytes() const noexcept { return pending_.size(); }
+
  private:
   std::size_t max_bytes_;
   std::string pending_;
--- a/packages/platform/caller_connection.h
+++ b/packages/platform/caller_connection.h
@@ -21,6 +21,11 @@
   virtual void on_message(caller_message message) = 0;
   /// A message exceeds the size limit. The connection stays open but reads nothing more.
   virtual void on_oversize() = 0;
+  /// Bytes of a message that is not complete yet were received.
+  /// @param bytes number of received bytes since the last call.
+  virtual void on_received(std::size_t bytes) = 0;
+  /// Queued bytes were sent.
+  virtual void on_sent() = 0;
   /// The connection has ended. This is the last callback; it is called at most once, and
   /// not after `close`.
   virtual void on_disconnected() = 0;
@@ -48,6 +53,10 @@
   void close_when_sent();
   void close() { stream_.close(); }
   [[nodiscard]] std::size_t unsent_bytes() const noexcept { return stream_.queued_bytes(); }
+  /// @return the bytes of an incomplete message that are buffered.
+  [[nodiscard]] std::size_t buffered_bytes() const noexcept { return reader_.buffered_bytes(); }
+  /// Stops or resumes reading. Has no effect after a message over the limit or `close_when_sent`.
+  void pause_reading(bool is_paused);
 
  private:
   void on_bytes(std::string_view bytes) override;
@@ -59,6 +68,8 @@
   line_reader reader_;
   std::size_t message_limit_ = max_line_bytes;
   bool is_closing_ = false;
+  bool is_oversize_ = false;
+  bool is_paused_ = false;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 
  public:
--- a/packages/platform/line_protocol_test.cc
+++ b/packages/platform/line_protocol_test.cc
@@ -150,6 +150,27 @@
   CHECK(reader.is_inside_line());
 }
 
+// Guards against a line whose rest is buffered although there is no memory for it, or taken for another line.
+TEST_CASE("The rest of a line is discarded up to its end") {
+  line_reader reader;
+  std::vector<std::string> lines;
+  const auto collect = [&](std::string_view line) {
+    lines.emplace_back(line);
+    return true;
+  };
+  CHECK(reader.feed("ROW " + std::string(59, 'x') + "\rxx", 10'000, collect));
+  reader.discard_rest_of_line();
+  CHECK(reader.feed("\nx", 10'000, collect));
+  CHECK(reader.feed(std::string(5'000, 'x') + "\r", 10'000, collect));
+  CHECK(reader.buffered_bytes() < 100);
+  CHECK(lines.empty());
+  CHECK(reader.feed("\nCOMPLETE a\r\nREADY", 10'000, collect));
+  REQUIRE(lines.size() == 2);
+  CHECK(lines[0].starts_with("ROW x"));
+  CHECK(lines[1] == "COMPLETE a");
+  CHECK(reader.buffered_bytes() == 5);
+}
+
 // Guards against a text with a line feed whose rest is read as another message.
 TEST_CASE("Only a CR LF ends a line") {
   line_reader reader;
--- a/packages/platform/line_reader.h
+++ b/packages/platform/line_reader.h
@@ -33,16 +33,18 @@
         const auto end = bytes.find("\r\n");
         if (end == std::string_view::npos) {
           partial_ += bytes;
+          if (is_discarding_) keep_start();
           return partial_.size() <= limit;
         }
         line = bytes.substr(0, end);
         bytes.remove_prefix(end + 2);
         if (!partial_.empty()) {
           complete_line = std::exchange(partial_, {});
-          complete_line += line;
+          if (!is_discarding_) complete_line += line;
           line = complete_line;
         }
       }
+      is_discarding_ = false;
       if (line.size() > limit) return false;
       if (!on_line(line)) return true;
     }
@@ -51,9 +53,33 @@
 
   /// @return whether an incomplete line has been read.
   [[nodiscard]] bool is_inside_line() const noexcept { return !partial_.empty(); }
+  /// @return the bytes of the incomplete line that are buffered.
+  [[nodiscard]] std::size_t buffered_bytes() const noexcept { return partial_.size(); }
+
+  /// Drops the incomplete line.
+  void clear() { partial_ = std::string{}; }
+  /// Keeps only the start of the incomplete line, with its first word. What follows of the line is not
+  /// buffered, and `on_line` gets that start.
+  void discard_rest_of_line() {
+    if (partial_.empty()) return;
+    is_discarding_ = true;
+    keep_start();
+  }
 
  private:
+  void keep_start() {
+    if (partial_.size() <= max_start_bytes) return;
+    // The terminator may be divided between two reads.
+    const bool may_end = partial_.ends_with('\r');
+    partial_ = partial_.substr(0, max_start_bytes);
+    while (partial_.ends_with('\r')) partial_.pop_back();
+    if (may_end) partial_ += '\r';
+  }
+
+  static constexpr std::size_t max_start_bytes = 64;
+
   std::string partial_;
+  bool is_discarding_ = false;
 };
 
 }  // namespace bulrushlift::platform
--- a/packages/platform/target_connection.cc
+++ b/packages/platform/target_connection.cc
@@ -12,9 +12,15 @@
 template <class... Ts>
 overloaded(Ts...) -> overloaded<Ts...>;
 
+// A row is held twice: as received bytes or as a row, and as bytes for the caller or the peer.
+constexpr std::size_t copies_of_row = 2;
+// Memory of a row besides its data.
+constexpr std::size_t row_overhead_bytes = 64;
+
 }  // namespace
 
-target_connection::target_connection(event_loop& loop) : loop_(loop), stream_(loop, *this) {}
+target_connection::target_connection(event_loop& loop, resource_budget* budget, customer_id customer)
+    : loop_(loop), budget_(budget), customer_(std::move(customer)), stream_(loop, *this) {}
 
 void target_connection::open(const target_endpoint& endpoint, open_callback done) {
   start_line_ = encode_target_start(endpoint.service, endpoint.customer, endpoint.target);
@@ -25,7 +31,7 @@
 void target_connection::run(const std::vector<sql::target_command>& commands, batch_callback done) {
   if (!is_open()) {
     loop_.post([alive = is_alive_, done = std::move(done)] {
-      if (*alive) done({{}, false, false});
+      if (*alive) done({{}, false, false, false, nullptr});
     });
     return;
   }
@@ -33,6 +39,9 @@
   expected_replies_ = commands.size();
   replies_.clear();
   current_reply_ = {};
+  row_bytes_ = 0;
+  is_over_memory_ = false;
+  reservation_.reset();
   sent_bytes_before_batch_ = stream_.sent_bytes();
   std::string lines;
   for (const auto& command : commands) append_command(lines, command);
@@ -56,19 +65,50 @@
 
 void target_connection::on_bytes(std::string_view bytes) {
   const auto alive = is_alive_;
+  if (on_batch_) reserve_for(bytes.size());
   const bool is_within_limit = reader_.feed(bytes, max_line_bytes, [&](std::string_view line) {
     const bool is_valid = on_line(line);
     if (*alive && !is_valid) abort();
     return *alive && stream_.is_open();
   });
-  if (*alive && !is_within_limit) abort();
+  if (!*alive) return;
+  if (!is_within_limit) {
+    abort();
+  } else if (is_over_memory_) {
+    reader_.discard_rest_of_line();
+  }
+}
+
+void target_connection::reserve_for(std::size_t received) {
+  if (budget_ == nullptr || is_over_memory_) return;
+  const auto bytes = (row_bytes_ + reader_.buffered_bytes() + received) * copies_of_row;
+  if (bytes <= budget_->shares().small_bytes * copies_of_row) return;
+  if (!reservation_) reservation_ = std::make_shared<memory_reservation>(budget_, customer_);
+  if (reservation_->grow_to(bytes, loop_.now())) return;
+  is_over_memory_ = true;
+  for (auto& each : replies_) each.rows = {};
+  current_reply_.rows = {};
+  reader_.discard_rest_of_line();
+  reservation_.reset();
+}
+
+batch_result target_connection::take_result(bool is_complete, bool may_have_been_sent) {
+  batch_result result;
+  result.replies = std::move(replies_);
+  replies_ = {};
+  result.is_complete = is_complete;
+  result.may_have_been_sent = may_have_been_sent;
+  result.is_over_memory = std::exchange(is_over_memory_, false);
+  result.reservation = std::exchange(reservation_, nullptr);
+  return result;
 }
 
 bool target_connection::on_line(std::string_view line) {
   if (!on_open_ && !on_batch_) return false;
   auto message = decode_target_line(line);
   return std::visit(overloaded{[&](target_row& row) {
-                                 current_reply_.rows.push_back(std::move(row.data));
+                                 row_bytes_ += row.data.size() + row_overhead_bytes;
+                                 if (!is_over_memory_) current_reply_.rows.push_back(std::move(row.data));
                                  return true;
                                },
                                [&](target_complete& complete) {
@@ -100,7 +140,7 @@
   replies_.push_back(std::exchange(current_reply_, {}));
   if (replies_.size() < expected_replies_) return;
   const auto done = std::exchange(on_batch_, nullptr);
-  done({std::move(replies_), true, true});
+  done(take_result(true, true));
 }
 
 void target_connection::finish_open(std::optional<sql::target_error> failure) {
@@ -120,7 +160,7 @@
   if (on_batch_) {
     const bool was_sent = stream_.sent_bytes() > sent_bytes_before_batch_;
     const auto done = std::exchange(on_batch_, nullptr);
-    done({std::move(replies_), false, was_sent});
+    done(take_result(false, was_sent));
     return;
   }
   if (auto callback = std::exchange(on_idle_close_, nullptr)) callback();
--- a/packages/platform/target_connection.h
+++ b/packages/platform/target_connection.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "net/event_loop.h"
+#include "net/resource_budget.h"
 #include "net/tcp_stream.h"
 #include "platform/line_protocol.h"
 #include "platform/line_reader.h"
@@ -30,6 +31,9 @@
   std::vector<sql::target_reply> replies;
   bool is_complete = false;        ///< Every command was answered.
   bool may_have_been_sent = true;  ///< Bytes of the batch may have reached the target.
+  /// There was no memory for the rows of a reply, so they are missing.
+  bool is_over_memory = false;
+  std::shared_ptr<memory_reservation> reservation = nullptr;  ///< For the rows; null if they are small.
 };
 
 /// Runs one batch at a time. Each callback is called at most once, never from within `open` or
@@ -42,7 +46,9 @@
   using batch_callback = std::function<void(batch_result)>;
   using close_callback = std::function<void()>;
 
-  explicit target_connection(event_loop& loop);
+  /// @param budget counts large answers; null if they are not bounded.
+  /// @param customer whose share of `budget` is used.
+  explicit target_connection(event_loop& loop, resource_budget* budget = nullptr, customer_id customer = {});
   target_connection(const target_connection&) = delete;
   target_connection& operator=(const target_connection&) = delete;
   ~target_connection() override { *is_alive_ = false; }
@@ -71,11 +77,17 @@
   void on_bytes(std::string_view bytes) override;
   void on_closed(const error& reason) override;
   bool on_line(std::string_view line);
+  /// Reserves memory for a large answer, or drops the answer's rows if there is none.
+  void reserve_for(std::size_t received);
+  /// @return the result of the batch, whose state is reset.
+  [[nodiscard]] batch_result take_result(bool is_complete, bool may_have_been_sent);
   void on_ready(const target_ready& message);
   void finish_open(std::optional<sql::target_error> failure);
   void report_loss();
 
   event_loop& loop_;
+  resource_budget* budget_;
+  customer_id customer_;
   tcp_stream stream_;
   line_reader reader_;
   std::string start_line_;
@@ -86,6 +98,9 @@
   std::uint64_t sent_bytes_before_batch_ = 0;
   std::vector<sql::target_reply> replies_;
   sql::target_reply current_reply_;
+  std::size_t row_bytes_ = 0;  ///< Of the replies to the running batch.
+  bool is_over_memory_ = false;
+  std::shared_ptr<memory_reservation> reservation_;
   bool is_ready_ = false;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/packages/platform/target_connection_test.cc
+++ b/packages/platform/target_connection_test.cc
@@ -7,7 +7,7 @@
 
 using std::chrono::seconds;
 
-/// A target that opens each session, and closes it when it gets a statement.
+/// A target that opens each session, and closes it when it gets a statement unless it has an answer.
 struct closing_target : private tcp_stream_observer {
   explicit closing_target(event_loop& loop)
       : listener(loop, [this, &loop](int handle) {
@@ -22,12 +22,15 @@
   void on_bytes(std::string_view bytes) override {
     if (bytes.starts_with("START")) {
       stream->write("READY I 1.1\r\n");
+    } else if (!answer.empty()) {
+      stream->write(answer);
     } else {
       stream->close();
     }
   }
   void on_closed(const error& /*reason*/) override {}
 
+  std::string answer;
   std::unique_ptr<tcp_stream> stream;
   tcp_listener listener;
   net_address address;
@@ -36,7 +39,8 @@
 struct fixture {
   event_loop loop;
   closing_target target{loop};
-  target_connection connection{loop};
+  resource_budget budget{{std::uint64_t{48} << 20U, 200}};
+  target_connection connection{loop, &budget, customer_id{"c"}};
 
   fixture() {
     connection.open({target.address, service_id{"s"}, customer_id{"c"}, target_id{"t"}},
@@ -82,5 +86,29 @@
   CHECK(results.front().may_have_been_sent);
 }
 
+// Guards against an answer that is collected without memory for it, and a connection that is lost by it.
+TEST_CASE("Rows of an answer are dropped when there is no memory for them") {
+  fixture test;
+  test.target.answer = "ROW " + std::string(900'000, 'x') + "\r\nCOMPLETE signed\r\nREADY I 1.2\r\n";
+  const auto all = test.budget.shares().customer_bytes;
+
+  auto results = test.run();
+  REQUIRE(results.size() == 1);
+  CHECK_FALSE(results.front().is_over_memory);
+  CHECK(results.front().replies.front().rows.size() == 1);
+  CHECK(test.budget.held_bytes() >= 900'000);
+  results.clear();
+  CHECK(test.budget.held_bytes() == 0);
+
+  REQUIRE(test.budget.try_reserve(customer_id{"c"}, all, test.loop.now()));
+  results = test.run();
+  REQUIRE(results.size() == 1);
+  CHECK(results.front().is_complete);
+  CHECK(results.front().is_over_memory);
+  CHECK(results.front().replies.front().rows.empty());
+  CHECK(test.budget.held_bytes() == all);
+  CHECK(test.connection.is_open());
+}
+
 }  // namespace
 }  // namespace bulrushlift::platform
--- a/packages/sql/session_state.cc
+++ b/packages/sql/session_state.cc
@@ -43,15 +43,19 @@
     setup.needs_reset = true;
     values_.clear();
     prepared_.clear();
+    bytes_ = 0;
   }
   for (const auto& [name, value] : session.values) {
     const auto it = values_.find(name);
     if (it != values_.end() && it->second == value) continue;
     setup.values.push_back({name, value});
+    bytes_ += it == values_.end() ? name.size() + value.size() : value.size();
+    if (it != values_.end()) bytes_ -= it->second.size();
     values_[name] = value;
   }
-  if (needed && prepared_.insert(*needed).second)
-    setup.prepare = prepare_step{name_on_target(*needed), *needed};
+  if (!needed || !prepared_.insert(*needed).second) return setup;
+  bytes_ += needed->shape.size();
+  setup.prepare = prepare_step{name_on_target(*needed), *needed};
   return setup;
 }
 
--- a/packages/sql/session_state.h
+++ b/packages/sql/session_state.h
@@ -75,11 +75,15 @@
   /// @return how many steps `prepare_for` would return for a statement that is not prepared.
   [[nodiscard]] std::size_t setup_step_count(const session_state& session) const;
 
+  /// @return the size of all values and definitions, in bytes.
+  [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+
  private:
   [[nodiscard]] bool has_stale_value(const session_state& session) const;
 
   std::map<std::string, std::string> values_;
   std::set<prepared_statement> prepared_;
+  std::size_t bytes_ = 0;
 };
 
 }  // namespace bulrushlift::sql
