Merge the bounds on memory and descriptors that callers may use

Cause: a small crowd of callers that do not behave ended a VM of 112 MB. The test deployment takes all further settings as JSON, also the bound of evacuations, which was a parameter of its own.

--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -32,6 +32,9 @@
 // in the same region takes to send the next statement.
 constexpr duration rest_time = milliseconds{250};
 
+// Session state above which a connection is not kept for other sessions.
+constexpr std::size_t max_idle_state_bytes = std::size_t{64} << 10U;
+
 }  // namespace
 
 connection_pool::connection_pool(entry_context& context, change_callback on_change)
@@ -180,7 +183,8 @@
   pool.quota.set_role(role_for_target(service, target), now);
   const auto quota = pool.quota.allowed(quota_terms(service), now);
   if (pool.all.size() >= quota && !evict_idle(pool, held, request)) return false;
-  auto connection = std::make_shared<pooled_connection>(context_.loop, service, target, customer);
+  auto connection =
+      std::make_shared<pooled_connection>(context_.loop, &context_.resources, service, target, customer);
   connection->use_start = now;
   connection->batch_deadline = now + open_timeout;
   pool.all.push_back(connection);
@@ -250,7 +254,10 @@
 
 void connection_pool::release(const connection_ptr& connection) {
   connection->batch_deadline.reset();
-  if (!connection->io.is_open()) {
+  // An idle connection keeps the values and definitions that it has, and few sessions have large ones.
+  const bool is_large =
+      connection->state.bytes() > std::max(context_.resources.shares().small_bytes, max_idle_state_bytes);
+  if (!connection->io.is_open() || is_large) {
     discard(connection);
     return;
   }
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/log.h"
 #include "net/address.h"
+#include "net/resource_budget.h"
 #include "sql/cold_pacer.h"
 #include "sql/overflow_controller.h"
 
@@ -53,6 +54,7 @@
   duration evacuation_bound{};
   sql::cold_allowance cold;  ///< What a cold target may get from all VMs together.
   vm_capacity capacity;
+  caller_time_limits caller_times;
   /// What it costs to run a read in another data centre; reads stay in their own if it is not set.
   std::optional<sql::overflow_settings> crossing;
   log_level level = log_level::info;
--- a/packages/entry/evacuation_path_test.cc
+++ b/packages/entry/evacuation_path_test.cc
@@ -17,6 +17,9 @@
 constexpr std::uint64_t bound_ms = 3'000;
 constexpr auto bound = std::chrono::milliseconds{bound_ms};
 
+/// @return the settings with the bound of evacuations.
+nlohmann::json bound_settings() { return {{"evacuation_bound_ms", bound_ms}}; }
+
 /// Sends reads and writes for a time.
 /// @return the targets that ran any statement meanwhile.
 std::set<std::string> targets_in_use(session_deployment& deployment, test_caller& writer, test_caller& reader,
@@ -45,7 +48,7 @@
 // Guards against statements at a target whose data centre the operators empty, and against a service that
 // stays without a primary.
 TEST_CASE("An evacuated data centre gets nothing, its primary is replaced, and it is used again") {
-  session_deployment deployment{"evacuation", 3, false, bound_ms};
+  session_deployment deployment{"evacuation", 3, false, bound_settings()};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(1, "stock");
   await_write(deployment, *writer);
@@ -65,7 +68,7 @@
 
 // Guards against a transaction that commits at an evacuated target after the bound.
 TEST_CASE("An open transaction in an evacuated data centre is aborted and nothing of it is kept") {
-  session_deployment deployment{"evacuation_transaction", 2, false, bound_ms};
+  session_deployment deployment{"evacuation_transaction", 2, false, bound_settings()};
   const auto caller = deployment.session(0, "orders");
   CHECK(caller->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
   CHECK(caller->ask_joined("QUERY t1 WRITE hide lost").starts_with("COMPLETE signed"));
@@ -81,7 +84,7 @@
 
 // Guards against a VM that goes on sending because it can't read the store: its peers tell it.
 TEST_CASE("A VM without the store hears of an evacuation from its peers") {
-  session_deployment deployment{"evacuation_cut", 3, true, bound_ms};
+  session_deployment deployment{"evacuation_cut", 3, true, bound_settings()};
   const auto writer = deployment.session(2, "orders");
   const auto reader = deployment.session(2, "stock");
   deployment.separate_platform->faults().is_refusing = true;
@@ -97,7 +100,7 @@
 
 // Guards against an evacuation that a restart or a store from an older copy forgets.
 TEST_CASE("An evacuation stays in force after a restart and after the store came back older") {
-  session_deployment deployment{"evacuation_restored", 2, false, bound_ms};
+  session_deployment deployment{"evacuation_restored", 2, false, bound_settings()};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(1, "stock");
   deployment.platform->save_copy();
@@ -123,7 +126,7 @@
 // Guards against statements that a VM sends after its start because it does not know the set yet, and against
 // an evacuation whose end is missed while the store is away.
 TEST_CASE("All VMs restart while the store is away, and the evacuation holds until it is taken back") {
-  session_deployment deployment{"evacuation_outage", 2, false, bound_ms};
+  session_deployment deployment{"evacuation_outage", 2, false, bound_settings()};
   {
     const auto writer = deployment.session(0, "orders");
     await_write(deployment, *writer);
@@ -152,7 +155,7 @@
 
 // Guards against statements that are sent because there is no other target left.
 TEST_CASE("With all data centres evacuated statements are refused and never sent") {
-  session_deployment deployment{"evacuation_last", 2, false, bound_ms};
+  session_deployment deployment{"evacuation_last", 2, false, bound_settings()};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(1, "stock");
 
@@ -175,7 +178,7 @@
 
 // Guards against an entry that stops the reading of the others: odd content, an odd name, no such place.
 TEST_CASE("Odd entries leave the other evacuations in force") {
-  session_deployment deployment{"evacuation_odd", 1, false, bound_ms};
+  session_deployment deployment{"evacuation_odd", 1, false, bound_settings()};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(0, "stock");
   const std::string deep = std::string(200'000, '[') + std::string(200'000, ']');
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -68,7 +68,6 @@
                 {"promotions", proxy.promotions},
                 {"drain_seconds", drain_s},
                 {"target_report_interval_ms", target_report_interval_ms}};
-  if (proxy.evacuation_bound_ms > 0) document["evacuation_bound_ms"] = proxy.evacuation_bound_ms;
   return document;
 }
 
