Share the watch calls of a data centre among two VMs

Cause: every VM watched targets, VMs and promotions by itself, so each change woke a watch of every VM.

--- a/packages/entry/peer_adapter.cc
+++ b/packages/entry/peer_adapter.cc
@@ -31,6 +31,14 @@
   return limits;
 }
 
+// A VM that watches the store answers each second or so, and a second one is there if it is lost.
+peer_link_options watch_link_options(std::uint64_t seed) {
+  auto options = link_options(seed);
+  options.probe_after = milliseconds{600};
+  options.probe_timeout = milliseconds{600};
+  return options;
+}
+
 }  // namespace
 
 peer_adapter::peer_adapter(entry_context& context)
@@ -51,15 +59,17 @@
     on_statement_(message, respond);
   } else if (message.__isset.document_request) {
     on_document_request_(message, respond);
+  } else if (message.__isset.watch_request) {
+    on_watch_request_(message, respond);
   } else {
     respond(error{error_kind::protocol_error, "the message is not understood"});
   }
 }
 
-peer_link* peer_adapter::link_to(const vm_id& vm) {
+peer_link* peer_adapter::link_to(link_table& links, const vm_id& vm, peer_link_options options) {
   const auto record = context_.shared.vms.find(vm);
   if (record == context_.shared.vms.end()) return nullptr;
-  auto& known = peers_[vm];
+  auto& known = links[vm];
   if (known.link && known.address == record->second.peer_address) return known.link.get();
   const auto address = parse_address(record->second.peer_address);
   if (!address) {
@@ -67,13 +77,25 @@
     return nullptr;
   }
   known.address = record->second.peer_address;
-  known.link = std::make_unique<peer_link>(context_.loop, *address, link_options(context_.random()));
+  known.link = std::make_unique<peer_link>(context_.loop, *address, options);
   return known.link.get();
 }
 
 void peer_adapter::request(const vm_id& to, peer::envelope_t message, duration timeout,
                            peer_link::reply_callback done) {
-  if (auto* link = link_to(to)) {
+  auto* link = link_to(peers_, to, link_options(context_.random()));
+  request_over(link, to, std::move(message), timeout, std::move(done));
+}
+
+void peer_adapter::request_watch(const vm_id& to, peer::envelope_t message, duration timeout,
+                                 peer_link::reply_callback done) {
+  auto* link = link_to(watch_links_, to, watch_link_options(context_.random()));
+  request_over(link, to, std::move(message), timeout, std::move(done));
+}
+
+void peer_adapter::request_over(peer_link* link, const vm_id& to, peer::envelope_t message, duration timeout,
+                                peer_link::reply_callback done) {
+  if (link != nullptr) {
     link->request(std::move(message), timeout, std::move(done));
     return;
   }
@@ -85,7 +107,7 @@
 }
 
 void peer_adapter::send(const vm_id& to, peer::envelope_t message) {
-  if (auto* link = link_to(to)) link->send(std::move(message));
+  if (auto* link = link_to(peers_, to, link_options(context_.random()))) link->send(std::move(message));
 }
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -16,13 +16,14 @@
 constexpr duration write_timeout = seconds{1};
 // A large configuration takes seconds over a slow link.
 constexpr duration peer_timeout = seconds{8};
-constexpr duration announce_retry = milliseconds{500};
 
 // A configuration must be in force on all VMs within 3 s, even if the connection of a watch goes
 // silent. Two VMs watch it with the short wait; the others learn from heartbeats that there is a
 // newer one, or that neither VM has confirmed it recently.
 constexpr duration short_watch_wait = milliseconds{1'500};
 constexpr duration long_watch_wait = seconds{15};
+// In a large data centre, where the number of VMs counts: the longest wait that the store allows.
+constexpr duration longest_watch_wait = seconds{30};
 const service_id configuration_placement_key{"configuration"};
 
 // Changes of targets matter within about a second, so those in quick succession are read together. Changes of
@@ -33,13 +34,23 @@
 // has just come back.
 constexpr int removal_intervals = 6;
 
-constexpr mirror_options configuration_options{short_watch_wait, duration::zero(), duration::zero()};
+// In a large data centre two VMs watch for the others, so shorter waits cost little and a silent connection
+// is noticed sooner. A watching VM holds questions about targets for a second only, because the age of a
+// confirmation is known to within that time.
+constexpr shared_watch_options shared_targets{seconds{3}, change_pause, seconds{1}};
+// Many VMs start within a second. Their records are read together, well within the second in which all VMs
+// have to know a member.
+constexpr shared_watch_options shared_vms{seconds{10}, milliseconds{250}, seconds{4}};
+constexpr shared_watch_options shared_promotions{seconds{10}, duration::zero(), seconds{4}};
+
+constexpr mirror_options configuration_options{short_watch_wait, duration::zero(), duration::zero(), {}};
 // Targets whose entries expired during an outage of the store write them again within about two
 // seconds.
-constexpr mirror_options target_options{seconds{5}, milliseconds{2'500}, change_pause};
-constexpr mirror_options vm_options{seconds{20}, seconds{5}, duration::zero()};
+constexpr mirror_options target_options{seconds{5}, milliseconds{2'500}, change_pause, shared_targets};
+constexpr mirror_options vm_options{seconds{20}, seconds{5}, duration::zero(), shared_vms};
 // A long wait is enough: the store refuses a claim that is based on an outdated version.
-constexpr mirror_options promotion_options{seconds{20}, duration::zero(), duration::zero()};
+constexpr mirror_options promotion_options{seconds{20}, duration::zero(), duration::zero(),
+                                           shared_promotions};
 
 }  // namespace
 
@@ -48,17 +59,29 @@
       peers_(peers),
       callbacks_(std::move(callbacks)),
       store_(context.loop, context.settings.store),
-      configuration_(context, store_, object_kind::configuration, configuration_options,
+      configuration_(context, store_, peers, object_kind::configuration, configuration_options,
                      configuration_observer()),
-      targets_(context, store_, object_kind::targets, target_options, target_observer()),
-      vms_(context, store_, object_kind::vms, vm_options, vm_observer()),
-      promotions_(context, store_, object_kind::promotions, promotion_options, promotion_observer()),
+      targets_(context, store_, peers, object_kind::targets, target_options, target_observer()),
+      vms_(context, store_, peers, object_kind::vms, vm_options, vm_observer()),
+      promotions_(context, store_, peers, object_kind::promotions, promotion_options, promotion_observer()),
       reports_(context.settings.target_report_interval * removal_intervals),
       announce_timer_(context.loop),
       refused_reports_timer_(context.loop) {
   peers_.on_document_request([this](const peer::envelope_t& /*message*/, const peer_responder& respond) {
     send_configuration(respond);
   });
+  peers_.on_watch_request([this](const peer::envelope_t& message, const peer_responder& respond) {
+    on_watch_question(decode(message.watch_request), respond);
+  });
+}
+
+void store_adapter::on_watch_question(watch_question question, const peer_responder& respond) {
+  for (auto* each : shared_mirrors()) {
+    if (question.kind == platform::name_of(each->kind())) {
+      return each->on_question(std::move(question), respond);
+    }
+  }
+  respond(error{error_kind::protocol_error, "the kind of objects is not shared"});
 }
 
 void store_adapter::start() {
@@ -76,10 +99,12 @@
 }
 
 void store_adapter::log_calls() const {
+  const auto saved = targets_.saved_calls() + vms_.saved_calls() + promotions_.saved_calls();
   log_info("store_calls", {{"configuration", store_.call_count(object_kind::configuration)},
                            {"targets", store_.call_count(object_kind::targets)},
                            {"vms", store_.call_count(object_kind::vms)},
-                           {"promotions", store_.call_count(object_kind::promotions)}});
+                           {"promotions", store_.call_count(object_kind::promotions)},
+                           {"saved", saved}});
 }
 
 store_mirror::observer store_adapter::configuration_observer() {
@@ -154,112 +179,6 @@
   });
 }
 
-store_mirror::observer store_adapter::target_observer() {
-  return {[this](const platform::stored_object& object) { on_target(object); },
-          [this](const std::string& name) { on_target_removed(target_id{name}); },
-          [this] { context_.shared.is_target_list_trusted = true; }};
-}
-
-void store_adapter::on_target(const platform::stored_object& object) {
-  const auto info = platform::decode_target(object);
-  if (!info) {
-    log_warning("target_ignored", {{"target", object.name}, {"reason", info.error().message}});
-    on_target_removed(target_id{object.name});
-    return;
-  }
-  if (!reports_.accept(info->target, object.version.epoch, info->number, context_.loop.now())) {
-    log_warning("target_ignored", {{"target", object.name}, {"reason", "the store has an older report"}});
-    retry_later(info->target, object);
-    return;
-  }
-  refused_reports_.erase(info->target);
-  const auto before = service_of_target_.find(info->target);
-  if (before != service_of_target_.end() && before->second != info->service) on_target_removed(info->target);
-  service_of_target_.insert_or_assign(info->target, info->service);
-  context_.shared.services[info->service].announce(*info, context_.loop.now());
-  log_info("target_announced", {{"target", info->target.str()},
-                                {"service", info->service.str()},
-                                {"address", info->address},
-                                {"role", info->is_primary ? "primary" : "replica"},
-                                {"state", info->is_leaving ? "leaving" : "ready"},
-                                {"version", object.version.version.value()}});
-  callbacks_.on_targets(info->service);
-}
-
-void store_adapter::on_target_removed(const target_id& target) {
-  reports_.on_removed(target, context_.loop.now());
-  refused_reports_.erase(target);
-  context_.shared.cold.remove(target);
-  const auto node = service_of_target_.extract(target);
-  if (node.empty()) return;
-  context_.shared.services[node.mapped()].remove(target, context_.loop.now());
-  log_info("target_removed", {{"target", target.str()}, {"service", node.mapped().str()}});
-  callbacks_.on_targets(node.mapped());
-}
-
-void store_adapter::retry_later(const target_id& target, const platform::stored_object& object) {
-  // Of a target that is in use a newer report is known.
-  if (service_of_target_.contains(target)) return;
-  refused_reports_.insert_or_assign(target, object);
-  refused_reports_timer_.set(reports_.removal_time(), [this] {
-    for (const auto& [name, report] : std::exchange(refused_reports_, {})) on_target(report);
-  });
-}
-
-store_mirror::observer store_adapter::vm_observer() {
-  return {[this](const platform::stored_object& object) {
-            const auto record = platform::decode_vm(object);
-            if (!record) {
-              log_warning("vm_ignored", {{"peer", object.name}, {"reason", record.error().message}});
-              // Another writer replaced this VM's record; it is announced again.
-              if (object.name == context_.settings.vm.str()) context_.shared.vms.erase(context_.settings.vm);
-              return;
-            }
-            context_.shared.vms.insert_or_assign(record->vm, *record);
-          },
-          [this](const std::string& name) { context_.shared.vms.erase(vm_id{name}); },
-          [this] {
-            announce_self();
-            callbacks_.on_vms();
-          }};
-}
-
-void store_adapter::announce_self() {
-  const platform::vm_record self{
-      context_.settings.vm, context_.settings.peer_listen.str(), context_.settings.data_centre,
-      context_.incarnation, context_.settings.capacity.cores,    context_.settings.capacity.link_mbps};
-  const auto stored = vms_.version_of(self.vm.str());
-  const auto known = context_.shared.vms.find(self.vm);
-  // A record that the store lost is still known here for a while.
-  const bool is_announced = stored.exists() && known != context_.shared.vms.end() && known->second == self;
-  if (is_announced || std::exchange(is_announcing_, true)) return;
-  store_.write(object_kind::vms, self.vm.str(), platform::encode_vm(self), stored, write_timeout,
-               [this](const result<store_version>& written) {
-                 is_announcing_ = false;
-                 if (written) {
-                   log_info("vm_announced", {{"version", written->version.value()}});
-                   return;
-                 }
-                 log_warning("vm_not_announced", {{"reason", written.error().message}});
-                 announce_timer_.set(announce_retry, [this] { announce_self(); });
-               });
-}
-
-store_mirror::observer store_adapter::promotion_observer() {
-  return {[this](const platform::stored_object& object) {
-            const auto record = platform::decode_promotion(object);
-            if (!record) {
-              log_warning("promotion_ignored", {{"object", object.name}, {"reason", record.error().message}});
-              return;
-            }
-            callbacks_.on_promotion(*record);
-          },
-          [](const std::string& name) {
-            log_warning("promotion_removed", {{"object", name}});
-          },
-          [] {}};
-}
-
 void store_adapter::on_status_received(const vm_id& peer, const configuration_status& status) {
   context_.shared.confirmations.on_reported(status, context_.loop.now());
   const auto& environment = context_.shared.environment;
@@ -273,6 +192,7 @@
 }
 
 void store_adapter::on_tick() {
+  for (auto* each : shared_mirrors()) each->on_tick();
   // While the store does not answer, the mirror calls it again by itself.
   if (!configuration_.is_reachable() || configuration_.is_refreshing()) return;
   // The response that is arriving confirms the configuration or brings a newer one.
@@ -283,10 +203,13 @@
 }
 
 void store_adapter::on_members() {
+  for (auto* each : shared_mirrors()) each->on_members();
   const auto placement = place_service(configuration_placement_key, context_.shared.members);
   const auto& self = context_.settings.vm;
   const bool is_watcher = placement && (placement->owner == self || placement->standby == self);
-  configuration_.set_watch_wait(is_watcher ? short_watch_wait : long_watch_wait);
+  configuration_.set_watch_wait(is_watcher                 ? short_watch_wait
+                                : targets_.is_delegating() ? longest_watch_wait
+                                                           : long_watch_wait);
   if (std::exchange(is_watcher_, is_watcher) == is_watcher) return;
   log_info("configuration_watcher_changed", {{"is_watcher", is_watcher}});
 }
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -69,6 +70,9 @@
   /// Handles the refused report of a target that is not in use again after the removal time.
   void retry_later(const target_id& target, const platform::stored_object& object);
   void announce_self();
+  void on_watch_question(watch_question question, const peer_responder& respond);
+  /// @return the mirrors that a VM of a large data centre may read from another VM.
+  [[nodiscard]] std::array<store_mirror*, 3> shared_mirrors() { return {&targets_, &vms_, &promotions_}; }
 
   entry_context& context_;
   peer_adapter& peers_;
@@ -84,7 +88,8 @@
   sql::report_filter reports_;
   std::map<target_id, platform::stored_object> refused_reports_;  ///< Of listed targets that are not in use.
   bool is_announcing_ = false;
-  bool is_watcher_ = false;  ///< This VM watches the configuration with the short wait.
+  std::optional<store_version> announced_;  ///< Version of the last record that this VM wrote.
+  bool is_watcher_ = false;                 ///< This VM watches the configuration with the short wait.
   scoped_timer announce_timer_;
   scoped_timer refused_reports_timer_;
 };
--- a/packages/net/peer_link.cc
+++ b/packages/net/peer_link.cc
@@ -284,7 +284,8 @@
   const auto& set = message.__isset;
   return !(set.ping || set.ack || set.leave || set.relay_request || set.relay_reply || set.loan_request ||
            set.loan_reply || set.document_request || set.document_reply || set.error ||
-           set.statement_request || set.statement_reply || set.transaction_end);
+           set.statement_request || set.statement_reply || set.transaction_end || set.watch_request ||
+           set.watch_reply);
 }
 
 peer::error_t to_wire(const error& failure) {
--- a/packages/peer_protocol/peer.thrift
+++ b/packages/peer_protocol/peer.thrift
@@ -201,6 +201,49 @@
   2: optional session_statement_t statement
 }
 
+/** An object of the store as a VM knows that watches it. */
+struct watched_object_t {
+  1: optional string name
+  2: optional i64 epoch
+  3: optional i64 version
+  /** JSON text; not set if the follower has this version, or if the object is removed. */
+  4: optional string content
+  5: optional bool is_removed
+}
+
+/** Asks a VM that watches the store for the objects of a kind: for a listing, or for the changes after a sequence. */
+struct watch_request_t {
+  1: optional string kind
+  /** Position in the store's history that the sender has reached. */
+  2: optional i64 epoch
+  3: optional i64 version
+  /** The place in the changes of the watching VM; not set for a listing. */
+  4: optional i64 instance
+  5: optional i64 sequence
+  /** In a listing, the name of the last object of the previous page. */
+  6: optional string after
+  /** How long the receiver may wait for a change. */
+  7: optional i64 wait_ms
+  /** Asks only whether the receiver watches the kind. */
+  8: optional bool is_probe
+}
+
+struct watch_reply_t {
+  /** Whether the sender watches the kind in the store; without it no other field is set. */
+  1: optional bool is_watching
+  /** Position in the store's history that the objects bring the receiver to. */
+  2: optional i64 epoch
+  3: optional i64 version
+  4: optional i64 instance
+  5: optional i64 sequence
+  /** Milliseconds from the store's confirmation that nothing is newer to the arrival of the request; may be negative. */
+  6: optional i64 confirmed_age_ms
+  /** The sequence of the request is not known; the receiver has to list. */
+  7: optional bool is_gap
+  8: optional bool has_more
+  9: optional list<watched_object_t> objects
+}
+
 struct envelope_t {
   /** Correlates a reply with its request; chosen by the requester. */
   1: required i64 id
@@ -217,4 +260,6 @@
   12: optional statement_request_t statement_request
   13: optional statement_reply_t statement_reply
   14: optional transaction_end_t transaction_end
+  20: optional watch_request_t watch_request
+  21: optional watch_reply_t watch_reply
 }
