Test that changes of targets cost the calls of two VMs only

Cause: no test guarded the saving itself.

Change: 15 reports of a target, 0.4 s apart, in a data centre with ten VMs; the calls about targets are read from the log lines.

--- a/packages/entry/watch_sharing_path_test.cc
+++ b/packages/entry/watch_sharing_path_test.cc
@@ -1,5 +1,9 @@
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "entry/session_deployment_fake.h"
@@ -13,7 +17,7 @@
 constexpr std::size_t vm_count = 11;
 
 struct sharing_deployment : session_deployment {
-  explicit sharing_deployment(const std::string& name) : session_deployment(name, vm_count) {
+  explicit sharing_deployment(const std::string& name) : session_deployment(name, vm_count), name_(name) {
     await("followers", [&] {
       std::size_t followers = 0;
       for (std::size_t vm = 1; vm < vm_count; ++vm) followers += is_follower(vm) ? 1 : 0;
@@ -30,12 +34,25 @@
     REQUIRE(vm < vm_count);
     return vm;
   }
+  /// @return a number in the first line of an event in the log of a VM; 0 if there is none.
+  [[nodiscard]] std::uint64_t logged_number(std::size_t vm, const std::string& event,
+                                            const std::string& field) const {
+    std::ifstream log{fmt::format("{}/path/{}/entry-{}.log", BULRUSHLIFT_BINARY_DIR, name_, vm)};
+    for (std::string line; std::getline(log, line);) {
+      const auto content = nlohmann::json::parse(line, nullptr, false);
+      if (content.is_object() && content.value("event", "") == event) return content.value(field, 0U);
+    }
+    return 0;
+  }
   /// Waits until all VMs but one have logged a line with all the texts.
   void await_logged(const std::vector<std::string>& texts, std::size_t except = vm_count) {
     for (std::size_t vm = 0; vm < vm_count; ++vm) {
       if (vm != except) await(texts.front() + " at a VM", [&] { return has_logged(vm, texts); });
     }
   }
+
+ private:
+  std::string name_;
 };
 
 // Guards against followers that hear of no change, and against those that trust a VM that is gone.
@@ -78,6 +95,23 @@
   deployment.await_logged({"target_announced", "i-c", "leaving"});
 }
 
+// Guards against watch calls of all VMs at each change: they are the largest part of the calls to the store.
+TEST_CASE("Changes of targets cost calls of two VMs only") {
+  sharing_deployment deployment{"sharing_calls"};
+  constexpr int changes = 15;
+  for (int i = 0; i < changes; ++i) {
+    deployment.announce("i-b", i % 2 == 0 ? "draining" : "ready");
+    deployment.loop.run_for(std::chrono::milliseconds{400});
+  }
+  deployment.await_logged({"\"store_calls\""});
+  std::uint64_t calls = 0;
+  for (std::size_t vm = 1; vm < vm_count; ++vm)
+    calls += deployment.logged_number(vm, "store_calls", "targets");
+  // Two VMs hear of each change and wait in between; each other VM lists and watches at its start.
+  CHECK(calls <= 2 * (changes + 10) + (vm_count - 3) * 4);
+  CHECK(calls >= 2 * changes);
+}
+
 // Guards against followers that stay with the lost history of a store that came back older.
 TEST_CASE("Followers learn of targets after the store came back older") {
   sharing_deployment deployment{"sharing_restored"};
