Check a configuration of sessions before it is sent

Cause: the store accepts configurations that lock customers out or name services that are not there, and the program checked only documents of the HTTP front.

Exit codes 8 and 9 are new.

Rates are not compared with the slots of targets, because the file does not have them.

--- a/packages/cli/command.h
+++ b/packages/cli/command.h
@@ -20,6 +20,7 @@
   const cli_options& options;
   std::vector<std::string> operands;  ///< Positional arguments after the command's name.
   std::ostream& out;
+  int exit_code = 0;  ///< Of a run without an error.
 };
 
 using command_result = result<void>;
@@ -35,6 +36,12 @@
   command_result (*run)(command_context&) = nullptr;
 };
 
+/// Checks a configuration of the session front, and compares it with the one in force.
+[[nodiscard]] command_result run_session_check(command_context& context);
+
+/// @return the content of a file, or `not_found`.
+[[nodiscard]] result<std::string> read_file(const std::string& path);
+
 [[nodiscard]] std::vector<command> document_commands();
 [[nodiscard]] std::vector<command> customer_commands();
 [[nodiscard]] std::vector<command> fleet_commands();
--- a/packages/cli/document_commands.cc
+++ b/packages/cli/document_commands.cc
@@ -13,9 +13,6 @@
 #include "document/settings.h"
 
 namespace bulrushlift {
-namespace {
-
-using nlohmann::json;
 
 result<std::string> read_file(const std::string& path) {
   std::ifstream file{path, std::ios::binary};
@@ -27,11 +24,19 @@
   return text.str();
 }
 
+namespace {
+
+using nlohmann::json;
+
 json finding_json(const finding& it) {
   return {{"line", it.line}, {"path", it.path}, {"message", it.message}};
 }
 
 command_result run_check(command_context& context) {
+  if (context.options.sessions) return run_session_check(context);
+  if (!context.options.against.empty()) {
+    return make_error(error_kind::bad_request, "--against needs --sessions");
+  }
   const auto& path = context.operands[0];
   const auto text = read_file(path);
   if (!text) return tl::unexpected{text.error()};
@@ -202,7 +207,8 @@
 
 std::vector<command> document_commands() {
   return {
-      {"check", "check FILE [--json]", "Check a document or the settings of a daemon; report all errors",
+      {"check", "check [--sessions [--against FILE]] FILE [--json]",
+       "Check a document, the settings of a daemon or a configuration of sessions; report all errors",
        "check examples/teranga.jsonc", 1, 1, run_check},
       {"trial", "trial FILE [--json]",
        "Check a document against the one in force and store it as the candidate",
--- a/packages/cli/options.cc
+++ b/packages/cli/options.cc
@@ -21,6 +21,8 @@
                                {"weight", required_argument, nullptr, 'w'},
                                {"route", required_argument, nullptr, 'o'},
                                {"admin", required_argument, nullptr, 'a'},
+                               {"sessions", no_argument, nullptr, 's'},
+                               {"against", required_argument, nullptr, 'g'},
                                {nullptr, 0, nullptr, 0}};
 
 std::string environment_variable(const char* name) {
@@ -68,6 +70,12 @@
     case 'a':
       options.admin_addresses.push_back(value);
       return true;
+    case 's':
+      options.sessions = true;
+      return true;
+    case 'g':
+      options.against = value;
+      return true;
     case 'r':
       return parse_number(value, options.rate);
     case 'b':
--- a/packages/cli/options.h
+++ b/packages/cli/options.h
@@ -27,6 +27,8 @@
   std::vector<std::string> routes;
   /// Admin addresses of VMs, from `--admin`; if empty, the platform is asked for them.
   std::vector<std::string> admin_addresses;
+  bool sessions = false;  ///< `--sessions`: the file is a configuration of the session front.
+  std::string against;    ///< `--against`: file of the configuration in force; empty if none is given.
   std::vector<std::string> positional;  ///< The command's name and its operands, in order.
 };
 
@@ -38,6 +40,7 @@
 /// @return the exit code for an error:
 ///   1 internal error, 2 wrong usage, 3 invalid document or settings, 4 conflict with another operator,
 ///   5 not found, 6 platform or VM unreachable and nothing changed, 7 outcome unknown.
+///   `check --sessions` also ends with 8 (warnings only) and 9 (a file that can't be read to its end).
 [[nodiscard]] int exit_code_of(const error& failure) noexcept;
 
 }  // namespace bulrushlift
--- a/packages/cli/run.cc
+++ b/packages/cli/run.cc
@@ -19,7 +19,8 @@
     "  --help               this text, or the help of a command\n"
     "  --version            the version\n"
     "\nExit codes: 0 done, 1 internal error, 2 wrong usage, 3 invalid document or settings,\n"
-    "4 conflict with another operator, 5 not found, 6 unreachable and without effect, 7 outcome unknown.\n";
+    "4 conflict with another operator, 5 not found, 6 unreachable and without effect, 7 outcome unknown.\n"
+    "check --sessions: also 8 warnings only, 9 a file that is cut off or no JSON.\n";
 
 std::vector<command> all_commands() {
   auto commands = document_commands();
@@ -67,7 +68,7 @@
 
 int run_command(event_loop& loop, const cli_options& options, const command& it, std::ostream& out,
                 std::ostream& errors) {
-  command_context context{loop, options, options.positional, out};
+  command_context context{loop, options, options.positional, out, 0};
   const auto name_end = context.operands.begin() + static_cast<std::ptrdiff_t>(word_count(it.name));
   context.operands.erase(context.operands.begin(), name_end);
   const auto count = context.operands.size();
@@ -75,7 +76,7 @@
     return report_error(errors, {error_kind::bad_request, fmt::format("usage: bulrushlift {}", it.usage)});
   }
   const auto done = it.run(context);
-  return done ? 0 : report_error(errors, done.error());
+  return done ? context.exit_code : report_error(errors, done.error());
 }
 
 }  // namespace
