Serve when the store answers no call about evacuations

Cause: a VM was not ready before it had read the evacuations; a store that knows nothing of this kind would have kept all VMs out of service.

Change: 3 s after all else has been read, the VM counts as ready, logs evacuations_unknown and goes on trying.

The new case wasn't run on the code before.

--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -23,6 +23,10 @@
 // its way.
 constexpr duration min_idle_time = milliseconds{200};
 
+// A VM that has read all else from the store but not the evacuations serves after this time: a store that
+// does not answer calls about this one kind must not keep all VMs out of service.
+constexpr duration max_evacuation_wait = std::chrono::seconds{3};
+
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -129,8 +133,8 @@
 
 http_response entry_daemon::answer_readiness() const {
   http_response response;
-  const bool is_ready =
-      store_.is_ready() && evacuations_.is_ready() && context_.shared.drain == drain_phase::none;
+  const bool knows_evacuations = evacuations_.is_ready() || is_evacuation_wait_over_;
+  const bool is_ready = store_.is_ready() && knows_evacuations && context_.shared.drain == drain_phase::none;
   response.status = is_ready ? http_ok : http_unavailable;
   return response;
 }
@@ -183,6 +187,7 @@
   if (++ticks_ % ticks_per_slow_tick != 0) return;
   if (ticks_ % (ticks_per_slow_tick * slow_ticks_per_report) == 0) store_.log_calls();
   store_.on_tick();
+  limit_evacuation_wait();
   failover_.on_tick();
   router_.on_tick();
   const auto now = context_.loop.now();
@@ -192,6 +197,16 @@
   if (drain_) on_drain_tick();
 }
 
+void entry_daemon::limit_evacuation_wait() {
+  if (is_evacuation_wait_over_ || evacuations_.is_ready() || !store_.is_ready()) return;
+  const auto now = context_.loop.now();
+  if (!store_ready_since_) store_ready_since_ = now;
+  if (now - *store_ready_since_ < max_evacuation_wait) return;
+  is_evacuation_wait_over_ = true;
+  log_error("evacuations_unknown",
+            {{"reason", "the store answers no call about them; serving without them"}});
+}
+
 void entry_daemon::drain() {
   if (drain_) return;
   drain_.emplace(context_.loop.now(), context_.settings.drain_time);
--- a/packages/entry/entry_daemon.h
+++ b/packages/entry/entry_daemon.h
@@ -42,6 +42,8 @@
   void accept(int handle);
   void remove_session(caller_session& session);
   void update_ownership();
+  /// Ends the wait for the evacuations if the store answers calls about other kinds only.
+  void limit_evacuation_wait();
   void on_members();
   void on_tick();
   void on_drain_tick();
@@ -66,6 +68,8 @@
   std::map<caller_session*, std::unique_ptr<caller_session>> sessions_;
   std::uint64_t ticks_ = 0;
   std::optional<drain_schedule> drain_;
+  std::optional<time_point> store_ready_since_;
+  bool is_evacuation_wait_over_ = false;
   scoped_timer tick_timer_;
 };
 
--- a/packages/entry/evacuation_path_test.cc
+++ b/packages/entry/evacuation_path_test.cc
@@ -173,6 +173,22 @@
   CHECK(deployment.database->primary() == "i-b");
 }
 
+// Guards against a fleet that never gets ready because the store knows nothing of this kind.
+TEST_CASE("A store that does not know evacuations keeps no VM from serving") {
+  session_deployment deployment{"evacuation_unknown", 1, false, bound_ms};
+  deployment.platform->faults().unknown_kind = "evacuations";
+  deployment.process(0).kill();
+  deployment.start_vm(0);
+  deployment.await("end of the wait", [&] { return deployment.has_logged(0, {"evacuations_unknown"}); });
+
+  const auto writer = deployment.session(0, "orders");
+  await_write(deployment, *writer);
+  deployment.platform->faults().unknown_kind.clear();
+  deployment.evacuate("south");
+  deployment.await("new primary", [&] { return deployment.database->primary() == "i-b"; });
+  await_write(deployment, *writer);
+}
+
 // Guards against an entry that stops the reading of the others: odd content, an odd name, no such place.
 TEST_CASE("Odd entries leave the other evacuations in force") {
   session_deployment deployment{"evacuation_odd", 1, false, bound_ms};
--- a/packages/standins/session_platform.cc
+++ b/packages/standins/session_platform.cc
@@ -9,6 +9,7 @@
 using nlohmann::json;
 
 constexpr std::string_view object_path = "/-/objects/";
+constexpr int http_not_found = 404;
 constexpr int http_conflict = 409;
 constexpr int http_gone = 410;
 constexpr int http_unavailable = 503;
@@ -127,6 +128,10 @@
   const auto slash = path.find('/');
   const std::string kind{path.substr(0, slash)};
   const std::string name{slash == std::string_view::npos ? std::string_view{} : path.substr(slash + 1)};
+  if (!kind.empty() && kind == faults_.unknown_kind) {
+    respond(store_response(http_not_found, "{}"));
+    return;
+  }
   if (request.method != "GET") {
     auto response = on_write(request, kind, name);
     if (faults_.lost_writes > 0) {
--- a/packages/standins/session_platform.h
+++ b/packages/standins/session_platform.h
@@ -23,6 +23,7 @@
 struct platform_faults {
   bool is_refusing = false;  ///< Answers all calls with 503.
   bool is_silent = false;    ///< Accepts calls but neither runs nor answers them.
+  std::string unknown_kind;  ///< Answers calls about this kind with 404; empty for none.
   int lost_writes = 0;       ///< Number of next writes that take effect without an answer.
 };
 
