--- a/packages/entry/evacuation_adapter.cc
+++ b/packages/entry/evacuation_adapter.cc
@@ -38,13 +38,13 @@
 
 }  // namespace
 
-evacuation_adapter::evacuation_adapter(entry_context& context, connection_pool& pool,
+evacuation_adapter::evacuation_adapter(entry_context& context, peer_adapter& peers, connection_pool& pool,
                                        std::function<void()> on_change)
     : context_(context),
       pool_(pool),
       on_change_(std::move(on_change)),
       store_(context.loop, context.settings.store),
-      mirror_(context, store_, platform::object_kind::evacuations, options, mirror_observer()),
+      mirror_(context, store_, peers, platform::object_kind::evacuations, options, mirror_observer()),
       confirmations_(bound_or_default(context.settings.evacuation_bound), context.random()) {}
 
 bool evacuation_adapter::is_watched() const noexcept {
--- a/packages/entry/evacuation_adapter.h
+++ b/packages/entry/evacuation_adapter.h
@@ -23,7 +23,8 @@
 class evacuation_adapter {
  public:
   /// @param on_change called after the directories have been changed.
-  evacuation_adapter(entry_context& context, connection_pool& pool, std::function<void()> on_change);
+  evacuation_adapter(entry_context& context, peer_adapter& peers, connection_pool& pool,
+                     std::function<void()> on_change);
 
   /// Starts to read the store. Without a bound in the settings nothing is read, now or later.
   void start();
