--- a/packages/entry/caller_memory_path_test.cc
+++ b/packages/entry/caller_memory_path_test.cc
@@ -155,6 +155,35 @@
   CHECK(caller->ask_joined("QUERY r2 READ hide").starts_with("ROW " + value + "|COMPLETE signed"));
 }
 
+// Guards against buffers that are not counted, and bytes that stay counted after their connection has ended.
+TEST_CASE("What a process counts is what its connections hold") {
+  session_deployment deployment{"crowd_count", 1, false, crowd_settings()};
+  static_cast<void>(deployment.session(0, "orders"));
+  const auto await_bytes = [&](double least, double most) {
+    deployment.await("counted bytes", [&] {
+      const auto bytes = deployment.metric(0, "caller_bytes");
+      return bytes && *bytes >= least && *bytes <= most;
+    });
+  };
+  auto half = deployment.session(0, "orders");
+  auto resting = deployment.session(0, "orders");
+  await_bytes(0, 0);
+
+  half->send("QUERY w1 WRITE hide " + std::string(10'000, 'x'));
+  await_bytes(10'020, 10'020);
+  CHECK(resting->ask_joined("QUERY s1 SET zone " + std::string(1'000, 'x')) == "COMPLETE -|READY I -");
+  await_bytes(11'024, 11'200);
+  half->send("\r\n");
+  CHECK(half->read_answer().back().starts_with("READY I"));
+  await_bytes(1'004, 1'180);
+  half->send("QUERY w2 WRITE hide " + large_text());
+  await_bytes(4 << 20, (4 << 20) + 1'180);
+
+  half.reset();
+  resting.reset();
+  await_bytes(0, 0);
+}
+
 // Guards against a transaction that stays open, or is kept, when its connection is closed by force.
 TEST_CASE("The transaction of a caller that is closed is rolled back") {
   session_deployment deployment{"crowd_transaction", 1, false, crowd_settings()};
--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -186,6 +186,17 @@
   return probe.has_received("HTTP/1.1 200");
 }
 
+std::optional<double> session_deployment::metric(std::size_t vm, const std::string& name) {
+  test_caller probe{loop, metrics_address(vm)};
+  probe.send("GET /metrics HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n");
+  const auto end = loop.now() + 1s;
+  while (loop.now() < end && !probe.is_closed()) loop.run_for(loop_step);
+  const auto label = "\nbulrushlift_" + name + " ";
+  const auto at = probe.received().find(label);
+  if (at == std::string::npos) return std::nullopt;
+  return std::stod(probe.received().substr(at + label.size()));
+}
+
 std::unique_ptr<test_caller> session_deployment::connect(std::size_t vm) {
   return std::make_unique<test_caller>(loop, net_address{"127.0.0.1", ports_.at(vm).callers});
 }
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   /// @return how many answers have arrived that `ask` has not returned.
   [[nodiscard]] std::size_t unread_answers() const;
   [[nodiscard]] bool is_closed() const noexcept { return is_closed_; }
+  /// @return what has arrived and `ask` has not returned.
+  [[nodiscard]] const std::string& received() const noexcept { return input_; }
   /// @return whether text has arrived that `ask` has not returned.
   [[nodiscard]] bool has_received(std::string_view text) const { return input_.find(text) != input_.npos; }
 
@@ -90,6 +93,8 @@
   /// Sends one readiness probe over a new connection.
   /// @return whether it was answered with 200 within a second.
   [[nodiscard]] bool is_ready(std::size_t vm);
+  /// @return the value of a metric without labels; nothing if the VM does not answer within a second.
+  [[nodiscard]] std::optional<double> metric(std::size_t vm, const std::string& name);
   /// @return whether the log of a VM has a line with all the texts.
   [[nodiscard]] bool has_logged(std::size_t vm, const std::vector<std::string>& texts) const;
   /// Writes the configuration, in which customer "shop" has the given keys and customer "other"
