End the pause of a refused successor with the linger time

Cause: the pause after refusals doubles up to the linger time, so a successor that was refused often would wait on after the predecessor's connections are gone. Change: before the end of the linger time the pause ends with it at the latest.

--- a/packages/limits/customer_budget.cc
+++ b/packages/limits/customer_budget.cc
@@ -130,7 +130,7 @@
   return true;
 }
 
-void customer_budget::refuse(waiting_requests::iterator it, time_point now, budget_actions& actions) {
+void customer_budget::refuse(const waiting_requests::iterator& it, time_point now, budget_actions& actions) {
   actions.emplace_back(refuse_request{it->ticket, over_rate_error(waiting_cost_ - available_tokens(now))});
   reserve_.on_refused(now);
   waiting_cost_ -= it->cost;
--- a/packages/limits/customer_budget.h
+++ b/packages/limits/customer_budget.h
@@ -87,7 +87,7 @@
   /// Refuses the newest waiting request that is not urgent, in favour of an urgent one.
   /// @return whether there was one.
   bool displace_waiting(time_point now, budget_actions& actions);
-  void refuse(waiting_requests::iterator it, time_point now, budget_actions& actions);
+  void refuse(const waiting_requests::iterator& it, time_point now, budget_actions& actions);
   /// @return the waiting request that gets the next tokens; there must be one.
   [[nodiscard]] waiting_requests::iterator next_waiting(time_point now);
   void spend(millitokens cost, time_point now);
--- a/packages/sql/connection_quota.cc
+++ b/packages/sql/connection_quota.cc
@@ -80,6 +80,9 @@
   proven_ = std::min(proven_, held_at_refusal_);
   growth_pause_ = std::clamp(growth_pause_ * 2, first_growth_pause, connection_linger_time);
   growth_blocked_until_ = now + growth_pause_;
+  // When the predecessor's connections are gone, the room is free at once.
+  const auto linger_end = role_start_ + connection_linger_time;
+  if (now < linger_end) growth_blocked_until_ = std::min(growth_blocked_until_, linger_end);
 }
 
 void connection_quota::on_reported(std::size_t total, std::size_t held, const quota_terms& terms,
--- a/packages/sql/connection_quota_test.cc
+++ b/packages/sql/connection_quota_test.cc
@@ -108,6 +108,17 @@
   CHECK(successor.allowed(many_customers, later) == settled_owner_quota(many_customers));
 }
 
+// Guards against a pause after refusals that outlasts the predecessor's connections.
+TEST_CASE("A successor that was refused all the time grows when the linger time is over") {
+  auto successor = owner_since(start);
+  for (auto now = start; now < start + connection_linger_time; now += milliseconds{150}) {
+    successor.on_refused(2, now);
+    CHECK(successor.allowed(many_customers, now) == 2);
+  }
+  const auto later = start + connection_linger_time;
+  CHECK(successor.allowed(many_customers, later) == settled_owner_quota(many_customers));
+}
+
 // Guards against a restarted VM that works with the reserve for the whole linger time, though the
 // target freed the connections of its previous process at once.
 TEST_CASE("A new owner reaches its quota at once if the target accepts its connections") {
