--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -260,7 +260,7 @@
       runner_.roll_back((*item)->pinned.connection, sql::statement{});
     }
     const auto kind = (*item)->is_in_transaction() ? caller_error::aborted : caller_error::busy;
-    reply_to_peer({to.sender, to.customer, 0, respond}, refused(kind, "no memory for the statement"));
+    reply_to_peer({to.sender, to.customer, 0, queue, respond}, refused(kind, "no memory for the statement"));
     return;
   }
   (*item)->done = [this, to, reply_deadline = (*item)->deadline + reply_allowance](const work_result& value) {
