Test evacuations in quick succession and one taken back at once

Cause: both were tested as decisions only.

Change: two path tests. The second one first expected reads in the evacuated data centre while an idle replica in the owner's own data centre was left, which is preferred; that replica now leaves, so the reads can only go to the data centre that is used again.

--- a/packages/entry/evacuation_path_test.cc
+++ b/packages/entry/evacuation_path_test.cc
@@ -173,6 +173,45 @@
   CHECK(deployment.database->primary() == "i-b");
 }
 
+// Guards against a promotion that waits for the old primary, and against one into a data centre that is
+// evacuated while it is under way.
+TEST_CASE("Two data centres are evacuated one after the other while the primary is silent") {
+  session_deployment deployment{"evacuation_crash", 3, false, bound_ms};
+  const auto writer = deployment.session(0, "orders");
+  const auto reader = deployment.session(1, "stock");
+  await_write(deployment, *writer);
+
+  deployment.database->faults_of("i-a").is_silent = true;
+  deployment.evacuate("north");
+  deployment.evacuate("south");
+  deployment.end_evacuation("north");
+  const auto in_force = deployment.loop.now() + bound;
+  deployment.await("end of the bound", [&] { return deployment.loop.now() > in_force; });
+
+  CHECK(deployment.database->primary() == "i-b");
+  const auto third = deployment.session(2, "orders");
+  await_write(deployment, *third);
+  CHECK(targets_in_use(deployment, *third, *reader, 500ms) == std::set<std::string>{"i-b"});
+  CHECK(deployment.platform->promotions().size() == 1);
+}
+
+// Guards against an evacuation that leaves a trace after it was taken back at once.
+TEST_CASE("An evacuation that is taken back at once leaves the targets in use") {
+  session_deployment deployment{"evacuation_back", 2, false, bound_ms};
+  const auto writer = deployment.session(0, "orders");
+  const auto reader = deployment.session(1, "stock");
+
+  // The only replica that is left for reads.
+  deployment.announce("i-c", "draining");
+
+  deployment.evacuate("north");
+  deployment.end_evacuation("north");
+  await_write(deployment, *writer);
+  deployment.await("read in the north",
+                   [&] { return targets_in_use(deployment, *writer, *reader, 100ms).contains("i-b"); });
+  CHECK(deployment.database->primary() == "i-a");
+}
+
 // Guards against a fleet that never gets ready because the store knows nothing of this kind.
 TEST_CASE("A store that does not know evacuations keeps no VM from serving") {
   session_deployment deployment{"evacuation_unknown", 1, false, bound_ms};
