Test that pauses of a caller end its connection and its transaction

Cause: the time limits were tested in the module only. Change: a path test with limits of one second: a transaction whose caller stops within a message is rolled back, a connection without a first message is closed, and a session that rests stays.

--- a/packages/entry/caller_memory_path_test.cc
+++ b/packages/entry/caller_memory_path_test.cc
@@ -184,6 +184,27 @@
   await_bytes(0, 0);
 }
 
+// Guards against a transaction that is kept, or goes on, when its connection is closed for a half-sent
+// message.
+TEST_CASE("A caller that stops within a message or before the first one is closed") {
+  auto settings = crowd_settings();
+  settings["caller_limits"] = {{"message_pause_seconds", 1}, {"first_message_seconds", 1}};
+  session_deployment deployment{"crowd_pauses", 1, false, settings};
+  const auto resting = deployment.session(0, "orders");
+  const auto stopped = deployment.session(0, "orders");
+  const auto silent = deployment.connect(0);
+  CHECK(stopped->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
+  CHECK(stopped->ask_joined("QUERY t1 WRITE hide 1").starts_with("COMPLETE signed|READY T"));
+  stopped->send("QUERY c1 COMM");
+
+  deployment.await("end of the connections", [&] { return stopped->is_closed() && silent->is_closed(); });
+
+  CHECK(resting->ask_joined("QUERY r1 READ hide").starts_with("ROW |COMPLETE signed"));
+  CHECK(deployment.database->value_of("hide").empty());
+  CHECK(deployment.has_logged(0, {R"("event":"caller_closed")", R"("reason":"half_message")"}));
+  CHECK(deployment.has_logged(0, {R"("event":"caller_closed")", R"("reason":"not_started")"}));
+}
+
 // Guards against a transaction that stays open, or is kept, when its connection is closed by force.
 TEST_CASE("The transaction of a caller that is closed is rolled back") {
   session_deployment deployment{"crowd_transaction", 1, false, crowd_settings()};
