Split the test fleet into two data centres only on request

Cause: the test deployment put VMs into a second data centre from six VMs on, which the tests of shared watches, with eleven VMs in one data centre, did not expect; they also did not build with the fake's new method. Change: a parameter of the deployment; a name in the tests of shared watches.

--- a/packages/entry/gateway_path_test.cc
+++ b/packages/entry/gateway_path_test.cc
@@ -48,7 +48,7 @@
 
 // Guards against reads that cross between data centres though a replica stands beside the caller.
 TEST_CASE("Reads run in the data centre of the caller, also after its gateway was lost") {
-  session_deployment deployment{"gateways", vms};
+  session_deployment deployment{"gateways", vms, false, nlohmann::json::object(), true};
   const auto north_gateway = gateway("ledger", "north");
   // A VM of the same data centre that is not the gateway.
   const auto north = north_gateway == 0 ? std::size_t{2} : std::size_t{0};
@@ -67,7 +67,7 @@
 // Guards against callers that lose their reads with the only target of their data centre, and against work
 // that stays away after the target is back.
 TEST_CASE("Reads leave the data centre while its target fails, and return") {
-  session_deployment deployment{"gateways_leave", vms};
+  session_deployment deployment{"gateways_leave", vms, false, nlohmann::json::object(), true};
   const auto stock = deployment.session(0, "stock");
   await_read_on(deployment, *stock, "i-b");
   deployment.announce("i-b", "draining");
@@ -79,7 +79,7 @@
 
 // Guards against statements that are sent to the former data centre of the primary after a failover.
 TEST_CASE("Writes follow the primary into another data centre") {
-  session_deployment deployment{"gateways_failover", vms};
+  session_deployment deployment{"gateways_failover", vms, false, nlohmann::json::object(), true};
   const auto south = deployment.session(1, "orders");
   const auto north = deployment.session(0, "orders");
   CHECK(south->ask_joined("QUERY w1 WRITE hide 1").starts_with("COMPLETE"));
--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -9,7 +9,6 @@
 #include <nlohmann/json.hpp>
 
 #include "base/hash.h"
-#include "fleet/gateway_table.h"
 #include "standins/session_documents.h"
 
 namespace bulrushlift::entry {
@@ -63,10 +62,11 @@
 }
 
 session_deployment::session_deployment(const std::string& name, std::size_t vms, bool has_separate_store,
-                                       json settings)
+                                       json settings, bool is_split)
     : folder_(std::string{BULRUSHLIFT_BINARY_DIR} + "/path/" + name),
       settings_(std::move(settings)),
-      has_separate_store_(has_separate_store) {
+      has_separate_store_(has_separate_store),
+      is_split_(is_split) {
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   platform = std::make_unique<session_platform>(loop, [this](const ordered_promotion& order) {
@@ -131,8 +131,7 @@
 }
 
 std::string session_deployment::data_centre_of(std::size_t vm) const {
-  const bool has_gateways = ports_.size() >= 2 * gateway_table::min_listed_vms;
-  return vm == 0 || (has_gateways && vm % 2 == 0) ? "north" : "south";
+  return vm == 0 || (is_split_ && vm % 2 == 0) ? "north" : "south";
 }
 
 void session_deployment::start_vm(std::size_t vm) {
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -66,8 +66,9 @@
   /// @param has_separate_store whether the last VM uses a store of its own, so that it can lose
   ///   access to the store while the other VMs keep it.
   /// @param settings fields that replace or extend the settings of each proxy.
+  /// @param is_split whether all VMs with even numbers are in data centre "north", not only VM 0.
   session_deployment(const std::string& name, std::size_t vms, bool has_separate_store = false,
-                     nlohmann::json settings = nlohmann::json::object());
+                     nlohmann::json settings = nlohmann::json::object(), bool is_split = false);
 
   event_loop loop;
   std::unique_ptr<session_platform> platform;
@@ -127,13 +128,13 @@
 
   [[nodiscard]] static net_address local(std::uint16_t port) { return {"127.0.0.1", port}; }
   [[nodiscard]] std::string address_of(const std::string& target) const;
-  /// @return "north" for VM 0, and for all with even numbers if there are enough for gateways; else "south".
   [[nodiscard]] std::string data_centre_of(std::size_t vm) const;
 
   std::string folder_;
   nlohmann::json settings_;
   std::map<std::string, std::unique_ptr<fault_proxy>> target_proxies_;
   bool has_separate_store_ = false;
+  bool is_split_ = false;
   std::uint64_t last_report_ = 0;  ///< Sequence number of the newest report of any target.
   std::vector<vm_ports> ports_;
   std::map<std::size_t, child_process> processes_;
--- a/packages/entry/watch_sharing_path_test.cc
+++ b/packages/entry/watch_sharing_path_test.cc
@@ -14,14 +14,14 @@
 namespace {
 
 // The first VM is in another data centre, the other ten are in one.
-constexpr std::size_t vm_count = 11;
+constexpr std::size_t vms_started = 11;
 
 struct sharing_deployment : session_deployment {
-  explicit sharing_deployment(const std::string& name) : session_deployment(name, vm_count), name_(name) {
+  explicit sharing_deployment(const std::string& name) : session_deployment(name, vms_started), name_(name) {
     await("followers", [&] {
       std::size_t followers = 0;
-      for (std::size_t vm = 1; vm < vm_count; ++vm) followers += is_follower(vm) ? 1 : 0;
-      return followers >= vm_count - 3;
+      for (std::size_t vm = 1; vm < vms_started; ++vm) followers += is_follower(vm) ? 1 : 0;
+      return followers >= vms_started - 3;
     });
   }
 
@@ -30,8 +30,8 @@
   }
   [[nodiscard]] std::size_t watcher() const {
     std::size_t vm = 1;
-    while (vm < vm_count && is_follower(vm)) ++vm;
-    REQUIRE(vm < vm_count);
+    while (vm < vms_started && is_follower(vm)) ++vm;
+    REQUIRE(vm < vms_started);
     return vm;
   }
   /// @return a number in the first line of an event in the log of a VM; 0 if there is none.
@@ -45,8 +45,8 @@
     return 0;
   }
   /// Waits until all VMs but one have logged a line with all the texts.
-  void await_logged(const std::vector<std::string>& texts, std::size_t except = vm_count) {
-    for (std::size_t vm = 0; vm < vm_count; ++vm) {
+  void await_logged(const std::vector<std::string>& texts, std::size_t except = vms_started) {
+    for (std::size_t vm = 0; vm < vms_started; ++vm) {
       if (vm != except) await(texts.front() + " at a VM", [&] { return has_logged(vm, texts); });
     }
   }
@@ -87,8 +87,8 @@
 // Guards against VMs that wait for each other when none of them knows anything yet.
 TEST_CASE("Followers learn of targets after all VMs were restarted at once") {
   sharing_deployment deployment{"sharing_restarted"};
-  for (std::size_t vm = 0; vm < vm_count; ++vm) deployment.process(vm).kill();
-  for (std::size_t vm = 0; vm < vm_count; ++vm) deployment.start_vm(vm);
+  for (std::size_t vm = 0; vm < vms_started; ++vm) deployment.process(vm).kill();
+  for (std::size_t vm = 0; vm < vms_started; ++vm) deployment.start_vm(vm);
   deployment.announce("i-b", "draining");
   deployment.await_logged({"target_announced", "i-b", "leaving"});
   deployment.announce("i-c", "draining");
@@ -105,10 +105,10 @@
   }
   deployment.await_logged({"\"store_calls\""});
   std::uint64_t calls = 0;
-  for (std::size_t vm = 1; vm < vm_count; ++vm)
+  for (std::size_t vm = 1; vm < vms_started; ++vm)
     calls += deployment.logged_number(vm, "store_calls", "targets");
   // Two VMs hear of each change and wait in between; each other VM lists and watches at its start.
-  CHECK(calls <= 2 * (changes + 10) + (vm_count - 3) * 4);
+  CHECK(calls <= 2 * (changes + 10) + (vms_started - 3) * 4);
   CHECK(calls >= 2 * changes);
 }
 
