Keep the target silent until a revoked session's statement is answered

Cause: "A statement with a key that was just revoked gets a complete answer" ended the silence of the target before it read the answer. An attempt that was repeated after that was served, which is allowed, because the statement was admitted before the key was revoked; the test expects the refusal. Change: the silence lasts until the answer is read; what is checked is as before.

--- a/packages/entry/session_path_test.cc
+++ b/packages/entry/session_path_test.cc
@@ -168,9 +168,10 @@
   deployment.await("new configuration", [&] {
     return deployment.has_logged(0, {R"("event":"configuration_in_force")", R"("generation":2)"});
   });
-  deployment.database->faults_of("i-a").is_silent = false;
 
+  // The target stays silent until then: a repeated attempt of the statement could still be served.
   CHECK(caller->read_answer().back() == "READY I -");
+  deployment.database->faults_of("i-a").is_silent = false;
   CHECK(caller->ask_joined("QUERY r2 READ hide") == "ERROR DENIED no longer in the configuration|READY I -");
   deployment.await("end of the session", [&] { return caller->is_closed(); });
 }
