Send no statement before the evacuations are known

Cause: targets and evacuations are read by separate calls. Change: the queues start nothing while the set is unknown and the wait for it isn't over. Three tests that came later take the bound as a setting, as the others do.

--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -48,6 +48,7 @@
   /// `monitors_of` gave them at the last tick.
   std::map<service_id, std::vector<vm_id>> monitors;
   sql::evacuation_set evacuations;          ///< `evacuation_adapter`.
+  bool is_evacuation_pending = false;       ///< `entry_daemon`; no statement is sent before the set is known.
   sql::cold_pacer cold{{}};                 ///< `entry_daemon` and `statement_runner`.
   bool is_target_list_trusted = false;      ///< `store_adapter`.
   drain_phase drain = drain_phase::none;    ///< `entry_daemon`.
@@ -90,6 +91,7 @@
         shared(settings.configuration_bound, seed),
         resources({settings.capacity.memory_bytes, settings.capacity.descriptors}, settings.caller_times) {
     shared.cold = sql::cold_pacer{settings.cold};
+    shared.is_evacuation_pending = settings.evacuation_bound > duration::zero();
   }
 
   entry_settings settings;
--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -150,8 +150,8 @@
 
 http_response entry_daemon::answer_readiness() const {
   http_response response;
-  const bool knows_evacuations = evacuations_.is_ready() || is_evacuation_wait_over_;
-  const bool is_ready = store_.is_ready() && knows_evacuations && context_.shared.drain == drain_phase::none;
+  const bool is_ready = store_.is_ready() && !context_.shared.is_evacuation_pending &&
+                        context_.shared.drain == drain_phase::none;
   response.status = is_ready ? http_ok : http_unavailable;
   return response;
 }
@@ -229,6 +229,8 @@
 void entry_daemon::on_tick() {
   tick_timer_.set(statement_runner::tick_interval, [this] { on_tick(); });
   evacuations_.on_tick();
+  // Targets may be known before the evacuations are, as they are read by separate calls.
+  context_.shared.is_evacuation_pending = !evacuations_.is_ready() && !is_evacuation_wait_over_;
   runner_.on_tick();
   guard_.on_tick();
   if (++ticks_ % ticks_per_slow_tick != 0) return;
--- a/packages/entry/evacuation_path_test.cc
+++ b/packages/entry/evacuation_path_test.cc
@@ -179,7 +179,7 @@
 // Guards against a promotion that waits for the old primary, and against one into a data centre that is
 // evacuated while it is under way.
 TEST_CASE("Two data centres are evacuated one after the other while the primary is silent") {
-  session_deployment deployment{"evacuation_crash", 3, false, bound_ms};
+  session_deployment deployment{"evacuation_crash", 3, false, bound_settings()};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(1, "stock");
   await_write(deployment, *writer);
@@ -200,7 +200,7 @@
 
 // Guards against an evacuation that leaves a trace after it was taken back at once.
 TEST_CASE("An evacuation that is taken back at once leaves the targets in use") {
-  session_deployment deployment{"evacuation_back", 2, false, bound_ms};
+  session_deployment deployment{"evacuation_back", 2, false, bound_settings()};
   const auto writer = deployment.session(0, "orders");
   const auto reader = deployment.session(1, "stock");
 
@@ -217,7 +217,7 @@
 
 // Guards against a fleet that never gets ready because the store knows nothing of this kind.
 TEST_CASE("A store that does not know evacuations keeps no VM from serving") {
-  session_deployment deployment{"evacuation_unknown", 1, false, bound_ms};
+  session_deployment deployment{"evacuation_unknown", 1, false, bound_settings()};
   deployment.platform->faults().unknown_kind = "evacuations";
   deployment.process(0).kill();
   deployment.start_vm(0);
--- a/packages/entry/statement_admission.cc
+++ b/packages/entry/statement_admission.cc
@@ -164,7 +164,7 @@
 
 bool statement_runner::has_free_slot(const service_id& service) const {
   const auto directory = context_.shared.services.find(service);
-  if (directory == context_.shared.services.end()) return false;
+  if (directory == context_.shared.services.end() || context_.shared.is_evacuation_pending) return false;
   const auto& targets = directory->second.targets();
   // The queue of a gateway is for the targets of its data centre, whatever room the others have.
   const auto is_held = [&](const auto& each) { return is_holder(directory->second, each.first); };
