Send what no data centre can run to the VM with the connections to the primary

Change: such statements go to the VM that holds the connections to the primary. Besides, from a reading of the whole change: an opening for later reads evicts nothing that was just used; the quota of a target outlasts its connections; a customer's demand is summed after old entries are dropped; a moved statement's callback is kept while it runs; a page without objects is a failure for followers too; ages and waits from peers and capacities are bounded; a number out of range in a checked configuration is a finding; comments and glossary speak of the gateway and the holder.

--- a/packages/entry/caller_crowd_fake.h
+++ b/packages/entry/caller_crowd_fake.h
@@ -18,7 +18,7 @@
 
 namespace bulrushlift::entry {
 
-/// Limits that the tests of crowds set for each process, and check. Fixed before the product was changed.
+/// Limits that the tests of crowds set for each process, and check.
 inline constexpr std::size_t crowd_memory_mb = 48;
 inline constexpr std::size_t crowd_descriptors = 200;
 
--- a/packages/entry/connection_pool.cc
+++ b/packages/entry/connection_pool.cc
@@ -168,6 +168,7 @@
   if (entry == nullptr || directory->second.is_evacuated(*entry)) return false;
   const auto now = context_.loop.now();
   auto& pool = pools_[target];
+  pool.service = service;
   const auto opening = pool.counts.at(static_cast<std::size_t>(connection_use::opening));
   if (pool.open_blocked_until > now || opening >= max_opening) return false;
   const auto address = parse_address(entry->info.address);
@@ -304,8 +305,7 @@
   std::vector<connection_ptr> timed_out;
   std::vector<connection_ptr> expired;
   for (auto& [target, pool] : pools_) {
-    if (pool.all.empty()) continue;
-    const auto& service = pool.all.front()->service;
+    const auto& service = pool.service;
     pool.quota.set_role(role_for_target(service, target), now);
     const auto allowed_idle = pool.quota.allowed_idle(quota_terms(service), now);
     const auto surplus_idle_time = pool.quota.surplus_idle_time(now);
@@ -339,8 +339,12 @@
   }
   for (const auto& each : unlisted) remove(each);
   const auto now = context_.loop.now();
-  std::erase_if(pools_, [now](const auto& each) {
-    return each.second.all.empty() && each.second.open_blocked_until <= now;
+  // The quota of a listed target outlasts its connections.
+  std::erase_if(pools_, [&](const auto& each) {
+    const auto directory = context_.shared.services.find(each.second.service);
+    const bool is_listed =
+        directory != context_.shared.services.end() && directory->second.find(each.first) != nullptr;
+    return each.second.all.empty() && each.second.open_blocked_until <= now && !is_listed;
   });
 }
 
--- a/packages/entry/connection_pool.h
+++ b/packages/entry/connection_pool.h
@@ -55,7 +55,7 @@
 struct connection_request {
   std::size_t max_useful = 1;  ///< Connections outside of transactions that the customer can use at once.
   bool is_urgent = false;      ///< Its route has the most urgent priority.
-  duration can_wait{};         ///< Time that it may still wait for a connection.
+  duration can_wait{};  ///< Time that it may still wait; zero if it cannot, and nothing is protected then.
 };
 
 class connection_pool {
@@ -114,6 +114,7 @@
   /// The connections to one target. Idle connections are also indexed by customer, because they
   /// are looked up each time that a slot becomes free.
   struct target_pool {
+    service_id service;
     std::list<connection_ptr> all;
     std::map<customer_id, std::vector<connection_ptr>> idle;
     std::array<std::size_t, connection_use_count> counts{};
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -73,9 +73,8 @@
 ///   statements show first that the primary is lost.
 [[nodiscard]] std::vector<vm_id> monitors_of(const service_id& service, const shared_state& shared);
 
-/// @return the rank of VM `self` among the listed monitors of a service, 0 for the first; nothing if that VM
-/// does
-///   not monitor the primary of the service.
+/// @return the rank of VM `self` among the monitors of a service, 0 for the first; nothing if it does not
+///   monitor the primary.
 [[nodiscard]] std::optional<std::size_t> monitor_rank(const service_id& service, const shared_state& shared,
                                                       const vm_id& self);
 
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -64,6 +65,9 @@
 }
 
 constexpr double bytes_per_megabyte = 1024.0 * 1024.0;
+// Larger values count as these.
+constexpr double max_memory_mb = 1e9;
+constexpr double max_descriptors = 1e9;
 
 /// Reads the optional block that says what the VM has.
 std::optional<error> read_capacity(const json& document, vm_capacity& out) {
@@ -83,8 +87,8 @@
     if (auto failure = read_number(*it, name, *value)) return failure;
   }
   out.cores = core_share * cores;
-  out.memory_bytes = static_cast<std::uint64_t>(memory_mb * bytes_per_megabyte);
-  out.descriptors = static_cast<std::uint64_t>(descriptors);
+  out.memory_bytes = static_cast<std::uint64_t>(std::min(memory_mb, max_memory_mb) * bytes_per_megabyte);
+  out.descriptors = static_cast<std::uint64_t>(std::min(descriptors, max_descriptors));
   return std::nullopt;
 }
 
--- a/packages/entry/evacuation_wire.cc
+++ b/packages/entry/evacuation_wire.cc
@@ -1,10 +1,14 @@
 #include "entry/evacuation_wire.h"
 
+#include <algorithm>
 #include <chrono>
 
 namespace bulrushlift::entry {
 namespace {
 
+// Larger ages count as this one, so that a peer cannot make the time overflow.
+constexpr std::int64_t max_age_ms = 3'600'000;
+
 using std::chrono::milliseconds;
 
 const peer::evacuation_status_t* find_status(const peer::envelope_t& envelope) {
@@ -34,7 +38,8 @@
   status.position = {store_epoch{static_cast<std::uint64_t>(wire->epoch)},
                      object_version{static_cast<std::uint64_t>(wire->position)}};
   for (const auto& each : wire->data_centres) status.stored.insert(data_centre_id{each});
-  if (wire->confirmed_age_ms >= 0) status.confirmed_age = milliseconds{wire->confirmed_age_ms};
+  if (wire->confirmed_age_ms >= 0)
+    status.confirmed_age = milliseconds{std::min(wire->confirmed_age_ms, max_age_ms)};
   return status;
 }
 
--- a/packages/entry/statement_maintenance.cc
+++ b/packages/entry/statement_maintenance.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
--- a/packages/entry/statement_move.cc
+++ b/packages/entry/statement_move.cc
@@ -67,8 +67,9 @@
                                 {"service", item->route->service.str()},
                                 {"from", item->data_centre->str()},
                                 {"to", result.other_data_centre->str()}});
-  context_.loop.post([item, result] {
-    if (!item->is_cancelled) item->moved(result);
+  // The callback replaces that of the item while it runs.
+  context_.loop.post([item, result, moved = item->moved] {
+    if (!item->is_cancelled) moved(result);
   });
 }
 
--- a/packages/entry/statement_placement.cc
+++ b/packages/entry/statement_placement.cc
@@ -108,6 +108,12 @@
       item->data_centre = centre;
       return holder_of(item->route->service, centre, context_.shared, failed);
     }
+    // No data centre can run it by itself. The VM with the connections to the primary tries all targets, and
+    // the statement waits there for a slot.
+    const auto primary = context_.shared.primary_data_centres.find(item->route->service);
+    if (primary != context_.shared.primary_data_centres.end()) {
+      return holder_of(item->route->service, primary->second, context_.shared, failed);
+    }
   }
   return context_.shared.ownership.first_except(item->route->service, failed);
 }
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -17,7 +17,7 @@
 // Added to the deadline of a relayed statement for the network delay of its reply.
 constexpr duration reply_allowance = milliseconds{50};
 
-// A VM whose link failed is not chosen as an owner for this long.
+// A VM whose link failed gets no statements for this long.
 constexpr duration unreachable_period = milliseconds{500};
 
 // Relays of one statement, including the first.
--- a/packages/entry/statement_router.h
+++ b/packages/entry/statement_router.h
@@ -12,12 +12,12 @@
 #include "sql/wait_board.h"
 
 /// @file
-/// Relays statements to the owner of their service, which is the VM that holds the connections to
-/// its targets, and runs statements of other VMs for the services that this VM owns.
+/// Relays statements to the VM that holds the connections to the targets of their service: the gateway
+/// of a data centre, or the owner of the service where there are no gateways. Runs the statements of
+/// other VMs for the targets whose connections this VM holds.
 ///
-/// A service has many customers but few connections, each of which belongs to one customer. With
-/// one owner per service, the sessions of all VMs share these connections, and one queue orders
-/// their statements.
+/// A service has many customers but few connections, each of which belongs to one customer. The
+/// sessions of all VMs share these connections, and one queue orders their statements.
 
 namespace bulrushlift::entry {
 
@@ -25,7 +25,7 @@
  public:
   statement_router(entry_context& context, peer_adapter& peers, statement_runner& runner);
 
-  /// Runs a statement on this VM or on the owner of its service. Calls the item's `done` once
+  /// Runs a statement on this VM or on the one that holds the connections. Calls the item's `done` once
   /// unless the item is cancelled, and never from within this call.
   void run(const work_ptr& item);
 
--- a/packages/entry/statement_runner.cc
+++ b/packages/entry/statement_runner.cc
@@ -76,7 +76,9 @@
     // Opens a connection to the preferred target for later reads; without one, the primary would
     // continue to serve them.
     if (target != candidates.front()) {
-      static_cast<void>(pool_.open(item->route->service, candidates.front(), item->customer));
+      connection_request later;
+      later.can_wait = duration::max();
+      static_cast<void>(pool_.open(item->route->service, candidates.front(), item->customer, later));
     }
     static_cast<void>(context_.shared.cold.reserve(target, context_.loop.now()));
     start(item, connection, required);
--- a/packages/entry/statement_wire.cc
+++ b/packages/entry/statement_wire.cc
@@ -1,12 +1,16 @@
 #include "entry/statement_wire.h"
 
 #include <fmt/format.h>
+#include <algorithm>
 
 #include <utility>
 
 namespace bulrushlift::entry {
 namespace {
 
+// Longer waits count as this one, so that a peer cannot make the time overflow.
+constexpr std::int64_t max_wait_ms = 3'600'000;
+
 using std::chrono::milliseconds;
 
 std::int64_t to_signed(std::uint64_t value) { return static_cast<std::int64_t>(value); }
@@ -157,7 +161,7 @@
   }
   if (wire.__isset.other_data_centre) value.other_data_centre = data_centre_id{wire.other_data_centre};
   if (wire.__isset.expected_wait_ms && wire.expected_wait_ms >= 0) {
-    value.expected_wait = milliseconds{wire.expected_wait_ms};
+    value.expected_wait = milliseconds{std::min(wire.expected_wait_ms, max_wait_ms)};
   }
   return value;
 }
--- a/packages/entry/store_mirror_peer.cc
+++ b/packages/entry/store_mirror_peer.cc
@@ -134,8 +134,13 @@
   }
   for (const auto& each : answer->batch.objects) merge_.on_listed(each.name);
   apply_from_peer(*answer);
-  if (answer->batch.has_more && !answer->batch.objects.empty()) {
-    list(answer->batch.objects.back().name);
+  if (answer->batch.has_more) {
+    // The next page cannot be named, and a listing that ends here would seem to remove objects.
+    if (answer->batch.objects.empty()) {
+      retry_peer(watcher, "a page of the listing has no object");
+    } else {
+      list(answer->batch.objects.back().name);
+    }
     return;
   }
   // Changes after the first page are asked for from its cursor on, because pages before may lack them.
--- a/packages/fleet/object_merge.h
+++ b/packages/fleet/object_merge.h
@@ -11,7 +11,7 @@
 /// @file
 /// Merges listings and changes of the objects of one kind, from the store or from a VM that watches it.
 ///
-/// Failures that it answers: objects that are delivered twice or out of order, a store that comes back from
+/// Failures that it handles: objects that are delivered twice or out of order, a store that comes back from
 /// an older copy, writers that need time to write again after an outage, and a watching VM that is behind
 /// what this VM knows already: nothing that was removed or replaced comes back from it.
 
--- a/packages/fleet/owner_assignment.cc
+++ b/packages/fleet/owner_assignment.cc
@@ -9,10 +9,10 @@
 namespace bulrushlift {
 namespace {
 
-// Bandwidth at which the relayed statements of one busy core fill a link, in Mbit/s.
+// Bandwidth, in Mbit/s, that a VM needs for each core that owns services.
 constexpr double link_mbps_per_core = 80;
 
-// Range of announced values that is believed.
+// Accepted range of announced values.
 constexpr double min_cores = 0.01;
 constexpr double max_cores = 1'024;
 constexpr double min_link_mbps = 1;
--- a/packages/fleet/owner_assignment.h
+++ b/packages/fleet/owner_assignment.h
@@ -14,7 +14,7 @@
 /// processor and link. With even shares a small VM that owns a service limits all callers of that
 /// service, while the large VMs are idle.
 ///
-///     const auto order = assign_by_capacity({"ledger-1", "ledger-2"}, vms);
+///     const auto order = assign_by_capacity({"ledger-1", "ledger-2"}, weigh(resources), 6);
 ///     order.at("ledger-1").front();  // the owner
 
 namespace bulrushlift {
--- a/packages/fleet/ownership_table.cc
+++ b/packages/fleet/ownership_table.cc
@@ -1,6 +1,7 @@
 #include "fleet/ownership_table.h"
 
 #include <algorithm>
+
 namespace bulrushlift {
 
 ownership_table ownership_table::build(std::vector<service_id> services, std::span<const member> members,
--- a/packages/fleet/ownership_table.h
+++ b/packages/fleet/ownership_table.h
@@ -21,7 +21,7 @@
 /// capacities that the VMs announce.
 ///
 ///     const auto table = ownership_table::build(services, members);
-///     if (table.rank(service, self) == 0) { /* this VM is the owner */ }
+///     const auto owner = table.first_except(service, unreachable);
 
 namespace bulrushlift {
 
--- a/packages/fleet/published_objects.h
+++ b/packages/fleet/published_objects.h
@@ -13,7 +13,7 @@
 /// What a VM that watches the store tells its followers about the objects of one kind.
 ///
 /// Load pattern: many objects change within a second. A follower gets the newest state of each changed object
-/// once, however often it changed. Failures that it answers: a follower that missed changes, or comes from
+/// once, however often it changed. Failures that it handles: a follower that missed changes, or comes from
 /// another watching VM; it gets a listing with the contents that it lacks only.
 
 namespace bulrushlift {
--- a/packages/fleet/watch_delegation.h
+++ b/packages/fleet/watch_delegation.h
@@ -16,7 +16,7 @@
 /// Decides whether a VM watches a kind of objects in the store itself or follows a VM that does.
 ///
 /// Load pattern: with a hundred VMs each change of an object wakes a hundred waiting watch calls, and each
-/// idle wait costs as many calls. Two VMs of a data centre watch for all of it. Failures that it answers: a
+/// idle wait costs as many calls. Two VMs of a data centre watch for all of it. Failures that it handles: a
 /// watching VM that is gone, paused, restarted, of an older build or cut off from the store, also while
 /// its peers still reach it.
 
--- a/packages/platform/configuration_check.h
+++ b/packages/platform/configuration_check.h
@@ -12,7 +12,7 @@
 /// @file
 /// Checks the operator's configuration before it is sent, and compares it with the version in force.
 ///
-/// Failure that it answers: a configuration that the store accepts but that locks customers out, sends work
+/// Failure that it prevents: a configuration that the store accepts but that locks customers out, sends work
 /// to a service that is not there or changes more than was meant. Keys never appear in a finding or a
 /// difference.
 
--- a/packages/platform/configuration_difference.cc
+++ b/packages/platform/configuration_difference.cc
@@ -109,6 +109,9 @@
     return tl::unexpected<text_place>(
         text_place{line_of(text, byte), byte,
                    is_cut_off ? "the text ends before the document does" : "this is no JSON"});
+  } catch (const json::exception& failure) {
+    // For example a number that is out of range; the parser gives no place for it.
+    return tl::unexpected<text_place>(text_place{1, 0, failure.what()});
   }
   if (!content.is_object())
     return tl::unexpected<text_place>(text_place{1, 0, "the document is no JSON object"});
--- a/packages/sql/connection_share.h
+++ b/packages/sql/connection_share.h
@@ -20,9 +20,9 @@
 
 /// What a VM does for a service.
 enum class service_role : std::uint8_t {
-  owner,    ///< Runs the statements of all VMs.
-  monitor,  ///< Probes the primary, and is next in the order of owners.
-  other,    ///< Runs statements itself only while it cannot reach the owner.
+  owner,    ///< Holds the connections: the gateway of the data centre, or the owner of the service.
+  monitor,  ///< Probes the primary, and may start a failover.
+  other,    ///< Runs statements itself only while it cannot reach the VM that holds the connections.
 };
 
 /// Share of a target's connection limit, in percent, for a VM that does not own the service.
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -68,8 +68,8 @@
 
 /// Inputs of the controller besides the target directory.
 struct failover_view {
-  std::size_t rank = 0;          ///< This VM's position among the watchers of the service; 0 is the owner.
-  bool is_list_trusted = false;  ///< The list of targets is complete and recent.
+  std::size_t rank = 0;  ///< This VM's position among the monitors of the service; 0 starts a failover first.
+  bool is_list_trusted = false;            ///< The list of targets is complete and recent.
   std::uint32_t synchronous_replicas = 0;  ///< Replicas that must confirm a commit; 0 for none.
 };
 
--- a/packages/sql/wait_board.cc
+++ b/packages/sql/wait_board.cc
@@ -40,12 +40,10 @@
       break;
     }
     period_start_ += demand_period;
-    total_demand_ = 0;
-    for (auto& [name, count] : demand_) {
-      count /= 2;
-      total_demand_ += count;
-    }
+    for (auto& [name, count] : demand_) count /= 2;
     std::erase_if(demand_, [](const auto& each) { return each.second < forgotten_demand; });
+    total_demand_ = 0;
+    for (const auto& [name, count] : demand_) total_demand_ += count;
   }
   auto& own = demand_[customer];
   own += 1;
