--- a/packages/entry/entry_context.cc
+++ b/packages/entry/entry_context.cc
@@ -20,7 +20,7 @@
 
 std::optional<vm_id> holder_of(const service_id& service, const data_centre_id& data_centre,
                                const shared_state& shared, std::span<const vm_id> failed) {
-  if (const auto gateway = shared.gateways.gateway(service, data_centre, failed)) return gateway;
+  if (auto gateway = shared.gateways.gateway(service, data_centre, failed)) return gateway;
   return shared.ownership.first_except(service, failed);
 }
 
