Check the memory of crowds in the build without sanitizers only

Change: the build with sanitizers checks that the process lives, its descriptors and the ordinary request; the bound is checked, unchanged, in the other build.

--- a/packages/entry/caller_crowd_fake.cc
+++ b/packages/entry/caller_crowd_fake.cc
@@ -17,6 +17,14 @@
 namespace bulrushlift::entry {
 namespace {
 
+// The address sanitizer adds shadow memory and keeps what is freed, so the resident memory of a process built
+// with it says nothing about the product. The build without it checks the bound.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool is_memory_measured = false;
+#else
+constexpr bool is_memory_measured = true;
+#endif
+
 using namespace std::chrono_literals;
 
 constexpr std::size_t bytes_per_mb = std::size_t{1} << 20U;
@@ -161,7 +169,7 @@
     const auto peak = peak_memory_bytes(process.pid());
     WARN("VM " << vm << ": peak " << peak / bytes_per_mb << " MB, descriptors " << crowd.most_descriptors()
                << ", clients left " << crowd.open_clients());
-    CHECK(peak <= crowd_memory_mb * bytes_per_mb);
+    if (is_memory_measured) CHECK(peak <= crowd_memory_mb * bytes_per_mb);
   }
   CHECK(crowd.most_descriptors() <= crowd_descriptors);
 }
