Keep the platform's name of the cold time in the stand-ins

Cause: a test fake outside of the stand-ins wrote a field of the platform's document by its name. Change: the description of a target has the remaining cold time; the stand-in writes the field. Conclusion: no product code changed.

--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -98,9 +98,9 @@
 }
 
 void session_deployment::announce_cold(const std::string& target, std::uint64_t remaining_ms) {
-  auto document = target_document({"ledger", address_of(target), target == "i-b" ? "north" : "south", "ready",
-                                   target == database->primary(), ++last_report_});
-  document["coldRemainingMs"] = remaining_ms;
+  const auto document =
+      target_document({"ledger", address_of(target), target == "i-b" ? "north" : "south", "ready",
+                       target == database->primary(), ++last_report_, remaining_ms});
   put("servers", target, document);
 }
 
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -28,15 +28,17 @@
 }  // namespace
 
 json target_document(const target_description& target) {
-  return {{"service", target.service},
-          {"address", target.address},
-          {"zone", target.data_centre},
-          {"version", "v1"},
-          {"slots", slots},
-          {"state", target.state},
-          {"databaseRole", target.is_primary ? "primary" : "replica"},
-          {"sequence", target.sequence},
-          {"born", 1}};
+  json document{{"service", target.service},
+                {"address", target.address},
+                {"zone", target.data_centre},
+                {"version", "v1"},
+                {"slots", slots},
+                {"state", target.state},
+                {"databaseRole", target.is_primary ? "primary" : "replica"},
+                {"sequence", target.sequence},
+                {"born", 1}};
+  if (target.cold_remaining_ms > 0) document["coldRemainingMs"] = target.cold_remaining_ms;
+  return document;
 }
 
 json configuration_document(std::uint64_t version, const std::string& service,
--- a/packages/standins/session_documents.h
+++ b/packages/standins/session_documents.h
@@ -18,7 +18,8 @@
   std::string data_centre;
   std::string state = "ready";  ///< Or "draining".
   bool is_primary = false;
-  std::uint64_t sequence = 1;  ///< Rises with each report of the target.
+  std::uint64_t sequence = 1;           ///< Rises with each report of the target.
+  std::uint64_t cold_remaining_ms = 0;  ///< How much longer it stays slow after its start; 0 leaves it out.
 };
 [[nodiscard]] nlohmann::json target_document(const target_description& target);
 
