--- a/review/standin-2/bed.h
+++ b/review/standin-2/bed.h
@@ -914,21 +914,26 @@
         {"log_level", "info"},
         {"log_lines_per_second", 100}};
     std::ofstream{path} << settings.dump(2) << "\n";
-    const auto log = folder + "/" + vm + ".log";
-    pid = ::fork();
-    if (pid == 0) {
-      ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-      const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-      ::dup2(out, 1);
-      ::dup2(out, 2);
-      ::setenv("BULRUSHLIFT_NODE_FILE", path.c_str(), 1);
-      ::execl("target/bin/bulrushliftd", "target/bin/bulrushliftd", "--entry", "--settings", path.c_str(), nullptr);
-      _exit(127);
-    }
+    path_ = path;
+    log_ = folder + "/" + vm + ".log";
+    start();
     record.line("started " + vm + " in " + zone);
   }
   ~proxy() { end(); }
 
+  // Starts the process with the command of deploy/system.toml; also after it has ended.
+  void start() {
+    pid = ::fork();
+    if (pid != 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int out = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(out, 1);
+    ::dup2(out, 2);
+    ::setenv("BULRUSHLIFT_NODE_FILE", path_.c_str(), 1);
+    ::execl("target/bin/bulrushliftd", "target/bin/bulrushliftd", "--entry", "--settings", path_.c_str(), nullptr);
+    _exit(127);
+  }
+
   [[nodiscard]] bool is_ready() const {
     auto connection = stream::connect(readiness);
     if (!connection) return false;
@@ -957,7 +962,7 @@
   pid_t pid = -1;
 
  private:
-  std::string vm_;
+  std::string vm_, path_, log_;
 };
 
 inline void wait_until_ready(std::vector<std::unique_ptr<proxy>>& proxies) {
