review: case 6, two rounds of releases

Change: the script replaces each primary twice; the stand-in puts a new backend with the log in the place of one that drained.

--- a/review/standin-2/bed.h
+++ b/review/standin-2/bed.h
@@ -454,6 +454,26 @@
     report();
   }
 
+  // The end of a release: backends that drained and lead no more are gone, and a new one at the address of each
+  // has its log.
+  void replace_drained() {
+    std::vector<std::string> gone;
+    {
+      std::lock_guard lock{mutex_};
+      for (auto& each : members_) {
+        if (!each->is_leaving || each.get() == primary_) continue;
+        gone.push_back(each->id);
+        each->id += "r";
+        each->is_leaving = false;
+        each->sequence = 0;
+        each->born += 60'000;
+        record.line("backend " + gone.back() + " is gone, " + each->id + " is in its place");
+      }
+    }
+    for (const auto& id : gone) store_.remove("servers", id);
+    report();
+  }
+
   // Some hundred ms after the order the backend leads the next term with what it has received.
   // @return whether it leads now and didn't before.
   bool promote(const std::string& id) {
@@ -572,8 +592,8 @@
     const auto verb = take_word(rest);
     const auto service = take_word(rest);
     take_word(rest);  // the tenant
-    if (verb != "START" || service != service_ || (!rest.empty() && rest != self.id)) {
-      connection.write("ERROR MISROUTED " + self.id + "\r\n");
+    if (verb != "START" || service != service_ || (!rest.empty() && rest != id_of(self))) {
+      connection.write("ERROR MISROUTED " + id_of(self) + "\r\n");
       return;
     }
     session its;
@@ -633,8 +653,14 @@
     --self.running;
   }
 
+  // The id changes when another backend takes the place.
+  std::string id_of(const member& self) {
+    std::lock_guard lock{mutex_};
+    return self.id;
+  }
+
   void note(member& self, const session& its, const std::string& id, const std::string& text) {
-    if (on_run) on_run({self.id, id, text, its.state == 'T' ? its.begin_id : std::string{}, its.number});
+    if (on_run) on_run({id_of(self), id, text, its.state == 'T' ? its.begin_id : std::string{}, its.number});
   }
 
   std::string status_row(const member& self) {
@@ -702,7 +728,7 @@
   // These occupy a slot like STATUS, and answer BUSY if there is none.
   std::string run_control(member& self, const std::string& verb, const std::string& rest) {
     if (!take_slot(self)) {
-      record.line("backend " + self.id + " answers BUSY to " + verb + " " + rest);
+      record.line("backend " + id_of(self) + " answers BUSY to " + verb + " " + rest);
       return busy();
     }
     sleep_ms(0.5);
@@ -748,7 +774,7 @@
     give_slot(self);
     std::string answer;
     for (const auto& row : rows) answer += "ROW " + row + "\r\n";
-    return answer + complete(self.id + "." + id);
+    return answer + complete(id_of(self) + "." + id);
   }
 
   std::optional<std::string> run_write(member& self, session& its, const std::string& id, const std::string& text,
@@ -763,12 +789,12 @@
     if (its.state == 'T') {
       its.writes[item] = value;
       give_slot(self);
-      return complete(self.id + "." + id);
+      return complete(id_of(self) + "." + id);
     }
     const bool is_known = append(self, {0, id, {{item, value}}, {}});
     give_slot(self);
     if (!is_known) return std::nullopt;
-    return complete(self.id + "." + id);
+    return complete(id_of(self) + "." + id);
   }
 
   std::optional<std::string> run_commit(member& self, session& its, const std::string& id) {
@@ -793,7 +819,7 @@
     const bool is_known = writes.empty() || append(self, {0, id, writes, {}});
     give_slot(self);
     if (!is_known) return std::nullopt;
-    return complete(self.id + "." + id);
+    return complete(id_of(self) + "." + id);
   }
 
   // @return whether the commit is acknowledged; if not, nobody knows whether it will be kept.
--- a/review/standin-2/release_sync.cc
+++ b/review/standin-2/release_sync.cc
@@ -1,5 +1,5 @@
-// Planned work: the primaries of six services with syncReplicas = 1 report draining, while callers read at
-// the replicas and write. Acknowledged commits must be in the log of the backend that is promoted.
+// Planned work: the primaries of six services with syncReplicas = 1 are replaced, twice, while
+// callers read at the replicas and write. Acknowledged commits must be in the log of the backend that is promoted.
 // TROUBLE=0: the same load, and no primary drains.
 
 #include "bed.h"
@@ -95,14 +95,19 @@
     }
   }
   sleep_ms(2'000);
-  if (is_trouble) {
-    for (auto& [service, each] : databases) each->drain_primary();
+  for (int round = 0; round < 2; ++round) {
+    if (is_trouble) {
+      for (auto& [service, each] : databases) each->drain_primary();
+    }
+    // DEPLOY.md: a backend serves for drainMs (7 s) after its report, and a little longer.
+    sleep_ms(9'000);
+    for (auto& [service, each] : databases) each->replace_drained();
+    sleep_ms(2'000);
   }
-  sleep_ms(9'000);
   is_over = true;
   for (auto& each : load) each.join();
   for (auto& each : proxies) each->end();
-  // Each service had one promotion, so what is not in its log now wasn't there when the backend was promoted.
+  // What isn't in the log of the present primary wasn't in the log of a backend when that was promoted.
   for (const auto& service : services) {
     const auto kept = databases[service]->kept_ids();
     for (const auto& id : acknowledged) {
