--- a/review/standin-2/split_ready.cc
+++ b/review/standin-2/split_ready.cc
@@ -31,7 +31,7 @@
   };
   data->rows_of = [](const std::string& item) {
     if (item != "archive") return std::vector<std::string>{};
-    return std::vector<std::string>(64, std::string(1'000'000, 'x'));
+    return std::vector<std::string>(256, std::string(250'000, 'x'));
   };
   data->splits_large_answers = is_trouble_on();
   auto desired = desired_state(7, {"ledger"}, 0, {{"growers", "key-growers-1"}});
