Review: keys of sessions take all memory

Cause: the key of a session on a public route is kept for the whole session and not counted in the memory budget.

--- a/review/standin-3/deployment.h
+++ b/review/standin-3/deployment.h
@@ -15,6 +15,7 @@
   double rate = 200;
   double burst = 200;
   std::string kind = "primary";
+  bool is_public = false;
 };
 
 class deployment {
@@ -56,7 +57,7 @@
                      {"maxStalenessMs", 1500},
                      {"priority", 1},
                      {"service", service},
-                     {"public", false}}}},
+                     {"public", options_.is_public}}}},
                   {"services",
                    {{{"name", service}, {"connectionLimit", 16}, {"syncReplicas", options_.sync_replicas}}}},
                   {"limits", {{"transactionIdleMs", 3000}}},
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -882,8 +882,8 @@
   cloud(group& database, double promote_ms) : database_(database), promote_ms_(promote_ms) {}
   int port() const { return server_.port; }
   void set_late_calls(late_call decide) { late_call_ = std::move(decide); }
-  /// While the condition holds the platform is down: it answers no call and carries none out.
-  void set_silence(std::function<bool()> is_down) { is_down_ = std::move(is_down); }
+  /// The platform is slow: it carries each call out, and answers it, this much later.
+  void set_delay(std::function<double()> delay_ms) { delay_ms_ = std::move(delay_ms); }
   void start() {
     server_.start([this](int fd) {
       reader in{fd};
@@ -910,10 +910,10 @@
     const auto body = json::parse(request.body, nullptr, false);
     call each{now_ms(), request.headers.at("x-duty-holder"), body.at("identifier").get<std::string>(),
               std::stoull(request.headers.at("x-fencing-token")), 0};
-    if (is_down_ && is_down_()) {
-      record.line("cloud  promotion of %s by %s with token %llu: the platform is down", each.identifier.c_str(),
-                  each.holder.c_str(), static_cast<unsigned long long>(each.token));
-      return 0;
+    if (const double delay = delay_ms_ ? delay_ms_() : 0; delay > 0) {
+      record.line("cloud  promotion of %s by %s with token %llu: the platform is slow, it takes %.0f ms",
+                  each.identifier.c_str(), each.holder.c_str(), static_cast<unsigned long long>(each.token), delay);
+      sleep_ms(delay);
     }
     std::optional<double> late;
     if (late_call_) late = late_call_(each);
@@ -960,7 +960,7 @@
   double promote_ms_;
   server server_;
   late_call late_call_;
-  std::function<bool()> is_down_;
+  std::function<double()> delay_ms_;
   std::mutex mutex_;
   std::uint64_t newest_token_ = 0;
   std::vector<call> calls_;
@@ -1054,6 +1054,19 @@
     return line && line->find(" 200") != std::string::npos;
   }
   const std::string& name() const { return options_.name; }
+  double memory_mb() const { return options_.memory_mb; }
+  /// @return the process's own memory in MB.
+  double used_mb() const {
+    std::FILE* file = std::fopen(("/proc/" + std::to_string(pid_) + "/status").c_str(), "r");
+    if (file == nullptr) return 0;
+    char line[256];
+    long kb = 0;
+    while (std::fgets(line, sizeof line, file) != nullptr) {
+      if (std::sscanf(line, "RssAnon: %ld kB", &kb) == 1) break;
+    }
+    std::fclose(file);
+    return static_cast<double>(kb) / 1024;
+  }
 
  private:
   std::string path(const std::string& suffix) const { return folder_ + "/" + options_.name + "." + suffix; }
