Review: build-2.sh builds the programs of all cases

Cause: the scripts' programs were built by a file of their own, which a check with build-2.sh would not run. Change: a file for each program beside the ones that build-2.sh builds; no earlier file is changed.

--- /dev/null
+++ b/review/standin-2/lost_commit.cc
@@ -0,0 +1,2 @@
+// Lets review/build-2.sh build this program of the third review.
+#include "../standin-3/lost_commit.cc"
