--- a/packages/entry/session_deployment_fake.cc
+++ b/packages/entry/session_deployment_fake.cc
@@ -70,8 +70,8 @@
   std::filesystem::remove_all(folder_);
   std::filesystem::create_directories(folder_);
   platform = std::make_unique<session_platform>(loop, [this](const ordered_promotion& order) {
-    database->promote(order.target);
-    for (const auto& member : database->members()) announce(member, "ready");
+    if (promotion_delay == duration::zero()) return promote(order.target);
+    loop.schedule(promotion_delay, [this, target = order.target] { promote(target); });
   });
   separate_platform = std::make_unique<session_platform>(loop, [](const ordered_promotion& /*order*/) {});
   database =
@@ -86,6 +86,11 @@
   for (std::size_t vm = 0; vm < vms; ++vm) start_vm(vm);
 }
 
+void session_deployment::promote(const std::string& target) {
+  if (database->primary() != target) database->promote(target);
+  for (const auto& member : database->members()) announce(member, "ready");
+}
+
 void session_deployment::put(const std::string& kind, const std::string& name, const json& content) {
   platform->put(kind, name, content);
   if (!separate_platform->faults().is_refusing) separate_platform->put(kind, name, content);
@@ -127,7 +132,8 @@
 
 void session_deployment::publish(std::uint64_t version, const std::vector<std::string>& shop_keys) {
   put("config", "main",
-      configuration_document(version, "ledger", {{"shop", shop_keys}, {"other", {"key-other"}}}));
+      configuration_document(version, "ledger", {{"shop", shop_keys}, {"other", {"key-other"}}},
+                             synchronous_replicas));
 }
 
 std::string session_deployment::data_centre_of(std::size_t vm) const {
@@ -181,6 +187,15 @@
   return false;
 }
 
+std::ptrdiff_t session_deployment::count_logged(std::size_t vm, const std::string& text) const {
+  std::ifstream log{fmt::format("{}/entry-{}.log", folder_, vm)};
+  std::ptrdiff_t count = 0;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(text) != std::string::npos) ++count;
+  }
+  return count;
+}
+
 std::size_t session_deployment::owner() const {
   const auto weight = [this](std::size_t vm) {
     return rendezvous_weight(database->service(), fmt::format("entry-{}", vm));
--- a/packages/entry/session_deployment_fake.h
+++ b/packages/entry/session_deployment_fake.h
@@ -77,6 +77,11 @@
   std::unique_ptr<session_platform> separate_platform;
   std::unique_ptr<session_database> database;
 
+  /// How long after its order a promotion takes effect.
+  duration promotion_delay{};
+  /// Replicas that must confirm a commit, in the configurations that are written from now on.
+  int synchronous_replicas = 0;
+
   /// Fields that are added to the settings of the VMs that are started from now on.
   nlohmann::json more_settings = nlohmann::json::object();
 
@@ -101,6 +106,8 @@
   [[nodiscard]] std::optional<double> metric(std::size_t vm, const std::string& name);
   /// @return whether the log of a VM has a line with all the texts.
   [[nodiscard]] bool has_logged(std::size_t vm, const std::vector<std::string>& texts) const;
+  /// @return number of lines in the log of a VM that have the text.
+  [[nodiscard]] std::ptrdiff_t count_logged(std::size_t vm, const std::string& text) const;
   /// Writes the configuration, in which customer "shop" has the given keys and customer "other"
   /// the key "key-other".
   void publish(std::uint64_t version, const std::vector<std::string>& shop_keys);
@@ -125,6 +132,7 @@
   };
 
   void put(const std::string& kind, const std::string& name, const nlohmann::json& content);
+  void promote(const std::string& target);
 
   [[nodiscard]] static net_address local(std::uint16_t port) { return {"127.0.0.1", port}; }
   [[nodiscard]] std::string address_of(const std::string& target) const;
--- a/packages/standins/session_database.cc
+++ b/packages/standins/session_database.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
@@ -26,6 +27,8 @@
   std::uint64_t term = 1;
   std::uint64_t position = 1;
   std::map<std::string, std::string> data;
+  std::uint64_t held_term = 0;  ///< Of the newest PAUSE.
+  bool is_paused = false;
   std::unique_ptr<tcp_listener> listener;
 };
 
@@ -36,6 +39,7 @@
   void on_bytes(std::string_view bytes) override {
     input += bytes;
     for (auto end = input.find("\r\n"); end != std::string::npos; end = input.find("\r\n")) {
+      if (unconfirmed) return;
       const auto line = input.substr(0, end);
       input.erase(0, end + 2);
       database.on_line(*this, line);
@@ -56,6 +60,8 @@
   std::map<std::string, std::string> values;
   std::map<std::string, std::string> prepared;  ///< Kind (READ or WRITE) of each prepared statement, by name.
   std::map<std::string, std::string> writes;    ///< Uncommitted writes of the open transaction.
+  /// Position of the commit whose answer waits for a replica.
+  std::optional<std::uint64_t> unconfirmed = std::nullopt;
 };
 
 session_database::session_database(event_loop& loop, std::string service, std::vector<std::string> members)
@@ -90,9 +96,12 @@
 void session_database::promote(const std::string& member) {
   primary_ = member;
   members_.at(member)->term = ++term_;
+  for (const auto& [id, each] : members_) each->is_paused = false;
   replicate();
 }
 
+bool session_database::is_paused(const std::string& member) const { return members_.at(member)->is_paused; }
+
 void session_database::close_connections(const std::string& member) {
   std::vector<connection*> open;
   for (const auto& [number, each] : connections_) {
@@ -116,10 +125,61 @@
   if (!is_replicating_) return;
   const auto& source = *members_.at(primary_);
   for (const auto& [id, member] : members_) {
+    if (member->is_paused) continue;
     member->term = source.term;
     member->position = source.position;
     member->data = source.data;
   }
+  answer_commits();
+}
+
+bool session_database::has_replica(const member_state& source, std::uint64_t position) const {
+  return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+    const auto& member = *each.second;
+    return &member != &source && member.term == source.term && member.position >= position;
+  });
+}
+
+void session_database::answer_commits() {
+  std::vector<connection*> waiting;
+  for (const auto& [number, each] : connections_) {
+    if (each->unconfirmed) waiting.push_back(each.get());
+  }
+  for (auto* each : waiting) {
+    if (!each->unconfirmed) continue;
+    if (each->member.id != primary_) {
+      close(*each);
+    } else if (has_replica(each->member, *each->unconfirmed)) {
+      each->unconfirmed.reset();
+      each->stream.write(complete_line("signed") + ready_line(*each));
+      each->on_bytes({});
+    }
+  }
+}
+
+void session_database::run_control(member_state& member, const std::string& verb, std::uint64_t term) {
+  if (verb == "PAUSE" && term > term_) {
+    member.held_term = std::max(member.held_term, term);
+    member.is_paused = member.id != primary_;
+  }
+  if (verb != "RESUME") return;
+  member.is_paused = false;
+  replicate();
+}
+
+std::optional<std::string> session_database::answer_control(member_state& member, const std::string& verb,
+                                                            std::string_view term) {
+  const auto number = term.empty() ? 0 : std::stoull(std::string{term});
+  const auto fate = decide_control_ ? decide_control_(member.id, verb) : control_fate{};
+  if (fate.is_busy) return error_line("BUSY");
+  if (fate.delay > duration::zero()) {
+    loop_.schedule(fate.delay, [this, &member, verb, number] { run_control(member, verb, number); });
+    return std::nullopt;
+  }
+  run_control(member, verb, number);
+  return fmt::format("ROW {} {} {}.{} {} 0 0 1\r\n", member.id == primary_ ? "primary" : "replica",
+                     member.term, member.term, member.position, member.held_term) +
+         complete_line("-");
 }
 
 void session_database::close(connection& closed) {
@@ -162,7 +222,16 @@
 
 void session_database::on_query(connection& from, std::string_view rest) {
   const auto id = take_word(rest);
+  auto argument = rest;
+  const auto verb = take_word(argument);
+  if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME") {
+    const auto status =
+        is_failed(from, id, verb) ? error_line("FAILED") : answer_control(from.member, verb, argument);
+    if (status) from.stream.write(*status + ready_line(from));
+    return;
+  }
   const auto answer = run(from, id, std::string{rest});
+  if (from.unconfirmed) return;
   auto& faults = faults_[from.member.id];
   if (id != "-" && faults.lost_answers > 0) {
     --faults.lost_answers;
@@ -230,11 +299,6 @@
     from.prepared[name] = take_word(rest);
     return complete_line("-");
   }
-  if (verb == "STATUS") {
-    return fmt::format("ROW {} {} {}.{} 0 0 0 1\r\n", from.member.id == primary_ ? "primary" : "replica",
-                       from.member.term, from.member.term, from.member.position) +
-           complete_line("-");
-  }
   return run_data(from, id, text);
 }
 
@@ -283,6 +347,9 @@
     ++from.member.position;
     if (on_commit_) on_commit_({from.member.id, id, writes});
     replicate();
+    if (is_synchronous_ && !has_replica(from.member, from.member.position)) {
+      from.unconfirmed = from.member.position;
+    }
   }
   return complete_line("signed");
 }
--- a/packages/standins/session_database.h
+++ b/packages/standins/session_database.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -49,8 +50,16 @@
   bool is_silent = false;  ///< Accepts connections but ignores all their lines.
 };
 
+/// What happens to a STATUS, PAUSE or RESUME at one target.
+struct control_fate {
+  bool is_busy = false;  ///< It is answered with BUSY, without effect.
+  duration delay{};      ///< If set, it gets no answer and takes effect after this time.
+};
+
 class session_database {
  public:
+  using control_decision = std::function<control_fate(const std::string& member, const std::string& verb)>;
+
   /// Listens on one loopback port for each member. Throws `std::runtime_error` if that fails.
   /// @param members ids of the targets; the first one is the primary.
   session_database(event_loop& loop, std::string service, std::vector<std::string> members);
@@ -68,9 +77,16 @@
   [[nodiscard]] database_faults& faults_of(const std::string& member) { return faults_[member]; }
 
   /// Makes a member the primary of the next term. Replication then copies its data to the
-  /// other members.
+  /// other members, also to those on which it was paused.
   void promote(const std::string& member);
 
+  /// From now on commits are answered only once a replica has received them.
+  void require_replica() { is_synchronous_ = true; }
+  /// Sets the callback that decides what happens to each STATUS, PAUSE and RESUME.
+  void on_control(control_decision decide) { decide_control_ = std::move(decide); }
+  /// @return whether a PAUSE keeps a member from receiving commits.
+  [[nodiscard]] bool is_paused(const std::string& member) const;
+
   /// Closes all open connections to a member.
   void close_connections(const std::string& member);
 
@@ -85,6 +101,13 @@
   struct connection;
 
   void replicate();
+  /// Answers the commits that a replica has received meanwhile, and closes those whose target leads no more.
+  void answer_commits();
+  [[nodiscard]] bool has_replica(const member_state& source, std::uint64_t position) const;
+  void run_control(member_state& member, const std::string& verb, std::uint64_t term);
+  /// @return the answer, or nothing if the command gets none.
+  [[nodiscard]] std::optional<std::string> answer_control(member_state& member, const std::string& verb,
+                                                          std::string_view term);
   void close(connection& closed);
   void on_line(connection& from, std::string_view line);
   void on_start(connection& from, std::string_view rest);
@@ -101,6 +124,8 @@
   std::string primary_;
   std::uint64_t term_ = 1;
   bool is_replicating_ = true;
+  bool is_synchronous_ = false;
+  control_decision decide_control_;
   std::map<std::string, std::unique_ptr<member_state>> members_;
   std::map<std::string, database_faults> faults_;
   std::map<std::uint64_t, std::unique_ptr<connection>> connections_;
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -42,7 +42,7 @@
 }
 
 json configuration_document(std::uint64_t version, const std::string& service,
-                            const std::vector<customer_description>& customers) {
+                            const std::vector<customer_description>& customers, int synchronous_replicas) {
   json tenants = json::array();
   for (const auto& customer : customers) {
     tenants.push_back({{"name", customer.name},
@@ -50,13 +50,15 @@
                        {"ratePerS", unlimited},
                        {"burst", unlimited}});
   }
-  return {{"version", version},
-          {"routes",
-           {route("orders", "primary", service), route("stock", "bounded", service),
-            route("book", "read_your_writes", service)}},
-          {"services", {{{"name", service}, {"connectionLimit", connection_limit}, {"syncReplicas", 0}}}},
-          {"limits", {{"transactionIdleMs", transaction_idle_ms}}},
-          {"tenants", tenants}};
+  return {
+      {"version", version},
+      {"routes",
+       {route("orders", "primary", service), route("stock", "bounded", service),
+        route("book", "read_your_writes", service)}},
+      {"services",
+       {{{"name", service}, {"connectionLimit", connection_limit}, {"syncReplicas", synchronous_replicas}}}},
+      {"limits", {{"transactionIdleMs", transaction_idle_ms}}},
+      {"tenants", tenants}};
 }
 
 json proxy_settings_document(const proxy_description& proxy) {
--- a/packages/standins/session_documents.h
+++ b/packages/standins/session_documents.h
@@ -31,8 +31,10 @@
 /// A configuration with one service and three databases: "orders" reads at the primary, "stock" allows
 /// reads that are up to `route_staleness_ms` old, and "book" also guarantees that a session reads its own
 /// writes.
+/// @param synchronous_replicas replicas that must have received a commit before it is acknowledged.
 [[nodiscard]] nlohmann::json configuration_document(std::uint64_t version, const std::string& service,
-                                                    const std::vector<customer_description>& customers);
+                                                    const std::vector<customer_description>& customers,
+                                                    int synchronous_replicas = 0);
 inline constexpr int route_staleness_ms = 2'000;
 
 /// Settings of one proxy. Addresses are "IP:port".
--- a/packages/standins/session_platform.cc
+++ b/packages/standins/session_platform.cc
@@ -164,7 +164,9 @@
                   : it == objects.end() ||
                         (meta.contains("revision") && meta["revision"] != it->second["meta"]["revision"]);
   if (has_conflict) return store_response(http_conflict, it == objects.end() ? "{}" : it->second.dump());
-  put(kind, key, body.value("spec", json{}));
+  const auto content = body.value("spec", json{});
+  // A write that changes nothing makes no new revision.
+  if (it == objects.end() || it->second["spec"] != content) put(kind, key, content);
   return store_response(200, store_.objects[kind][key].dump());
 }
 
@@ -211,12 +213,28 @@
   promotion.target = body.value("identifier", std::string{});
   promotion.holder = std::string{request.headers.find("X-Duty-Holder").value_or("")};
   promotion.token = std::stoull(std::string{request.headers.find("X-Fencing-Token").value_or("0")});
+  if (faults_.refused_promotions > 0) {
+    --faults_.refused_promotions;
+    promotions_.push_back(promotion);
+    respond(json_response(http_unavailable, "{}"));
+    return;
+  }
+  if (faults_.late_promotions > 0) {
+    --faults_.late_promotions;
+    unanswered_.push_back(respond);
+    loop_.schedule(faults_.lateness, [this, promotion] { carry_out(promotion); });
+    return;
+  }
+  respond(json_response(carry_out(promotion) ? 200 : http_conflict, "{}"));
+}
+
+bool session_platform::carry_out(ordered_promotion promotion) {
   auto& newest_token = newest_tokens_[promotion.service];
   promotion.is_accepted = promotion.token >= newest_token;
   newest_token = std::max(newest_token, promotion.token);
   promotions_.push_back(promotion);
   if (promotion.is_accepted) on_promotion_(promotion);
-  respond(json_response(promotion.is_accepted ? 200 : http_conflict, "{}"));
+  return promotion.is_accepted;
 }
 
 }  // namespace bulrushlift
--- a/packages/standins/session_platform.h
+++ b/packages/standins/session_platform.h
@@ -21,10 +21,13 @@
 
 /// Faults to inject into the calls of the platform.
 struct platform_faults {
-  bool is_refusing = false;  ///< Answers all calls with 503.
-  bool is_silent = false;    ///< Accepts calls but neither runs nor answers them.
-  std::string unknown_kind;  ///< Answers calls about this kind with 404; empty for none.
-  int lost_writes = 0;       ///< Number of next writes that take effect without an answer.
+  bool is_refusing = false;    ///< Answers all calls with 503.
+  bool is_silent = false;      ///< Accepts calls but neither runs nor answers them.
+  std::string unknown_kind;    ///< Answers calls about this kind with 404; empty for none.
+  int lost_writes = 0;         ///< Number of next writes that take effect without an answer.
+  int refused_promotions = 0;  ///< Number of next promotions to answer with 503, without effect.
+  int late_promotions = 0;     ///< Number of next promotions that get no answer and are carried out later.
+  duration lateness{};         ///< How much later; their tokens are compared at that time.
 };
 
 /// A promotion that a proxy requested.
@@ -93,6 +96,8 @@
   void on_store_request(const http_request& request, const http_responder& respond);
   [[nodiscard]] http_response store_response(int status, std::string body) const;
   void on_promotion(const http_request& request, const http_responder& respond);
+  /// Compares the token with those seen, and tells the callback of an accepted promotion.
+  bool carry_out(ordered_promotion promotion);
   [[nodiscard]] http_response on_write(const http_request& request, const std::string& kind,
                                        const std::string& name);
   void on_watch(const std::string& kind, const std::map<std::string, std::string>& query,
