A repeated claim of a promotion gets a version, and so a fencing token, of its own

Cause: the record of a claim held the target and the VM. A VM that claimed again wrote the same record; the store gives no new revision to a write that changes nothing, so the claim "succeeded" with the token of the order before, and another VM's claim on the same revision succeeded as well. Change: the record has a number that rises with each claim (records without it are those of older builds and count as 0). Every claim changes the record, so the store orders all of them.

--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -47,6 +47,7 @@
   log_info("promotion_claimed", {{"service", record.service.str()},
                                  {"target", record.target.str()},
                                  {"claimed_by", record.claimed_by.str()}});
+  attempts_[record.service] = record.attempt;
   controller_of(record.service).on_claim_seen(record.target, context_.loop.now());
 }
 
@@ -168,7 +169,7 @@
 }
 
 void failover_adapter::run(const service_id& service, const sql::claim_promotion& action) {
-  store_.claim({service, action.target, context_.settings.vm},
+  store_.claim({service, action.target, context_.settings.vm, ++attempts_[service]},
                [this, service](std::optional<std::uint64_t> token) {
                  perform(service, controller_of(service).on_claim(token, context_.loop.now()));
                });
--- a/packages/entry/failover_adapter.h
+++ b/packages/entry/failover_adapter.h
@@ -54,6 +54,7 @@
   platform::promotion_client promotions_;
   std::map<service_id, sql::failover_controller> controllers_;
   std::map<service_id, survey> surveys_;
+  std::map<service_id, std::uint64_t> attempts_;  ///< Number of the newest known claim.
 };
 
 }  // namespace bulrushlift::entry
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -267,7 +267,8 @@
 }
 
 json encode_promotion(const promotion_record& record) {
-  return {{"target", record.target.str()}, {"claimedBy", record.claimed_by.str()}};
+  return {
+      {"target", record.target.str()}, {"claimedBy", record.claimed_by.str()}, {"attempt", record.attempt}};
 }
 
 result<promotion_record> decode_promotion(const stored_object& object) {
@@ -276,6 +277,8 @@
   out.service = service_id{object.name};
   out.target = target_id{fields.text("target")};
   out.claimed_by = vm_id{fields.text("claimedBy")};
+  // Records of older versions have no number.
+  out.attempt = fields.number_or("attempt", 0);
   if (fields.has_failed()) return fields.failure();
   return out;
 }
--- a/packages/platform/documents.h
+++ b/packages/platform/documents.h
@@ -45,6 +45,8 @@
   service_id service;
   target_id target;
   vm_id claimed_by;
+  /// Rises with each claim. The store gives a new version only to a write that changes the record.
+  std::uint64_t attempt = 0;
 
   friend bool operator==(const promotion_record&, const promotion_record&) = default;
 };
--- a/packages/platform/documents_test.cc
+++ b/packages/platform/documents_test.cc
@@ -120,7 +120,7 @@
 TEST_CASE("Records of the proxy are decoded as they were encoded") {
   const vm_record vm{vm_id{"entry-1"}, "10.0.0.1:7", data_centre_id{"north"}, incarnation_id{5}};
   CHECK(*decode_vm({"entry-1", store_version{{}, object_version{1}}, encode_vm(vm)}) == vm);
-  const promotion_record promotion{service_id{"s1"}, target_id{"i-1"}, vm_id{"entry-1"}};
+  const promotion_record promotion{service_id{"s1"}, target_id{"i-1"}, vm_id{"entry-1"}, 3};
   CHECK(*decode_promotion({"s1", store_version{{}, object_version{1}}, encode_promotion(promotion)}) ==
         promotion);
 }
