A promotion order without an answer keeps the fence until a newer order is accepted

What callers saw: LOST. Cause: an order without an answer was treated as a refused one. The owner sent RESUME; one replica confirmed further commits; the platform carried out the order 2.2 s later, and its target led without them. Change: the outcome of an order is accepted, refused or unknown. While an order of unknown outcome may take effect the fence stays, and the VM orders again at once with a newer token, the same target among equals. The platform refuses older tokens from then on, so nothing that was confirmed later can be dropped by the late order.

--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -15,6 +15,12 @@
 constexpr duration status_timeout = milliseconds{250};
 constexpr duration order_timeout = milliseconds{1'200};
 
+sql::order_outcome outcome_of(const result<void>& ordered) {
+  if (ordered) return sql::order_outcome::accepted;
+  const bool is_refused = ordered.error().request_outcome() == outcome::not_run;
+  return is_refused ? sql::order_outcome::refused : sql::order_outcome::unknown;
+}
+
 }  // namespace
 
 failover_adapter::failover_adapter(entry_context& context, statement_runner& runner, store_adapter& store)
@@ -48,7 +54,8 @@
                                  {"target", record.target.str()},
                                  {"claimed_by", record.claimed_by.str()}});
   attempts_[record.service] = record.attempt;
-  controller_of(record.service).on_claim_seen(record.target, context_.loop.now());
+  const bool is_own = record.claimed_by == context_.settings.vm;
+  controller_of(record.service).on_claim_seen(record.target, is_own, context_.loop.now());
 }
 
 void failover_adapter::perform(const service_id& service, const std::optional<sql::failover_action>& action) {
@@ -185,7 +192,7 @@
                                            {"target", action.target.str()},
                                            {"accepted", ordered.has_value()},
                                            {"reason", ordered ? std::string{} : ordered.error().message}});
-        perform(service, controller_of(service).on_order(ordered.has_value(), context_.loop.now()));
+        perform(service, controller_of(service).on_order(outcome_of(ordered), context_.loop.now()));
       });
 }
 
--- a/packages/platform/promotion_client.cc
+++ b/packages/platform/promotion_client.cc
@@ -10,6 +10,8 @@
 constexpr int http_ok = 200;
 constexpr int http_success_end = 300;
 constexpr int http_conflict = 409;
+constexpr int http_too_many_requests = 429;
+constexpr int http_unavailable = 503;
 
 http_request encode_request(const promotion_order& order) {
   http_request request;
@@ -26,8 +28,18 @@
   if (!response) return tl::unexpected<error>(response.error());
   if (response->status >= http_ok && response->status < http_success_end) return {};
   const auto text = fmt::format("the platform answered {} to a promotion", response->status);
-  if (response->status == http_conflict) return make_error(error_kind::conflict, text);
-  return make_error(error_kind::platform_unavailable, text);
+  const auto failure = [&text](error_kind kind, outcome run) {
+    return tl::unexpected<error>(error{kind, text, std::nullopt, run});
+  };
+  switch (response->status) {
+    case http_conflict:
+      return failure(error_kind::conflict, outcome::not_run);
+    case http_too_many_requests:
+    case http_unavailable:
+      return failure(error_kind::platform_unavailable, outcome::not_run);
+    default:
+      return failure(error_kind::platform_unavailable, outcome::unknown);
+  }
 }
 
 }  // namespace
@@ -39,7 +51,11 @@
   opened.open(
       address_, timeout,
       [this, connection, request = encode_request(order), timeout, done](const result<void>& connected) {
-        if (!connected) return done(tl::unexpected<error>(connected.error()));
+        if (!connected) {
+          auto reason = connected.error();
+          reason.stated_outcome = outcome::not_run;
+          return done(tl::unexpected<error>(std::move(reason)));
+        }
         connection->send(request, timeout, [this, connection, done](const result<http_response>& r) {
           loop_.post([connection] {});
           done(outcome_of(r));
--- a/packages/sql/evacuated_targets_test.cc
+++ b/packages/sql/evacuated_targets_test.cc
@@ -134,8 +134,8 @@
   REQUIRE(failover.on_timer(directory, owner_view, start));
   REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(4), false}}, directory, start));
   REQUIRE(failover.on_claim(7, start));
-  failover.on_claim_seen(second, start);
-  REQUIRE_FALSE(failover.on_order(true, start));
+  failover.on_claim_seen(second, false, start);
+  REQUIRE_FALSE(failover.on_order(order_outcome::accepted, start));
 
   directory.set_evacuated({north, south});
   const auto next = failover.on_timer(directory, owner_view, start + milliseconds{20});
@@ -147,7 +147,7 @@
 TEST_CASE("A claim for a target in an evacuated data centre is not waited for") {
   auto directory = directory_of_three();
   failover_controller failover{{}};
-  failover.on_claim_seen(second, start);
+  failover.on_claim_seen(second, false, start);
   directory.set_evacuated({north, south});
 
   CHECK(surveyed(failover.on_timer(directory, owner_view, start)) == std::vector<target_id>{third});
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -64,6 +64,8 @@
 
 bool failover_controller::is_claim_pending(const target_directory& directory, time_point now) const {
   if (!claim_seen_ || now - *claim_seen_ >= options_.claim_timeout) return false;
+  // A newer order of this VM makes its earlier one void.
+  if (is_own_claim_ && unresolved_order_) return false;
   // A claim for a target that is no longer listed has no effect.
   return is_promotable(directory, directory.find(claimed_target_));
 }
@@ -71,7 +73,7 @@
 std::optional<failover_action> failover_controller::abandon(time_point now) {
   enter(step::idle, now);
   next_survey_ = now + options_.retry_pause;
-  if (fenced_.empty()) return std::nullopt;
+  if (fenced_.empty() || unresolved_order_) return std::nullopt;
   return resume_targets{std::exchange(fenced_, {})};
 }
 
@@ -84,8 +86,8 @@
     enter(step::idle, now);
   }
   if (step_ != step::idle) {
-    if (now - step_started_ >= step_timeout) return abandon(now);
-    return std::nullopt;
+    if (now - step_started_ < step_timeout) return std::nullopt;
+    return step_ == step::ordering ? on_order(order_outcome::unknown, now) : abandon(now);
   }
   const auto reason = find_loss_reason(directory, view.is_list_trusted, now);
   if (!reason) {
@@ -133,7 +135,13 @@
     // Another target is the primary already; the directory learns it from that target's answers.
     if (each.is_primary && directory.primary() == nullptr) return abandon(now);
     if (!is_promotable(directory, directory.find(each.target))) continue;
-    if (best == nullptr || *each.received > *best->received) best = &each;
+    // The target that an earlier order may still promote goes before its equals, so that the two orders
+    // can't promote different ones.
+    const bool is_preferred = unresolved_order_ == each.target;
+    if (best == nullptr || *each.received > *best->received ||
+        (is_preferred && *each.received == *best->received)) {
+      best = &each;
+    }
   }
   if (best == nullptr || answered < required_answers_) return abandon(now);
   chosen_target_ = best->target;
@@ -149,17 +157,27 @@
   return order_promotion{chosen_target_, *token};
 }
 
-std::optional<failover_action> failover_controller::on_order(bool accepted, time_point now) {
+std::optional<failover_action> failover_controller::on_order(order_outcome outcome, time_point now) {
   if (step_ != step::ordering) return std::nullopt;
-  if (!accepted) return abandon(now);
-  // The promotion itself ends the pause of replication.
-  fenced_.clear();
-  enter(step::settling, now);
-  return std::nullopt;
+  switch (outcome) {
+    case order_outcome::accepted:
+      // The promotion itself ends the pause of replication, and earlier orders are refused from now on.
+      fenced_.clear();
+      unresolved_order_.reset();
+      enter(step::settling, now);
+      return std::nullopt;
+    case order_outcome::unknown:
+      if (!fenced_.empty()) unresolved_order_ = chosen_target_;
+      break;
+    case order_outcome::refused:
+      break;
+  }
+  return abandon(now);
 }
 
-void failover_controller::on_claim_seen(const target_id& target, time_point now) {
+void failover_controller::on_claim_seen(const target_id& target, bool is_own, time_point now) {
   claimed_target_ = target;
+  is_own_claim_ = is_own;
   claim_seen_ = now;
 }
 
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -58,6 +58,13 @@
 };
 using failover_action = std::variant<survey_targets, resume_targets, claim_promotion, order_promotion>;
 
+/// What the platform's answer says of an order.
+enum class order_outcome : std::uint8_t {
+  accepted,  ///< The target will lead the next term.
+  refused,   ///< The order has no effect.
+  unknown    ///< No answer: the order may still take effect, until one with a newer token is accepted.
+};
+
 /// One target's answer to the survey.
 struct survey_answer {
   target_id target;
@@ -108,11 +115,11 @@
   /// The attempt to claim the promotion ended.
   /// @param token version of the claim in the store, or nothing if the claim failed.
   [[nodiscard]] std::optional<failover_action> on_claim(std::optional<std::uint64_t> token, time_point now);
-  /// The platform answered the order.
-  /// @param accepted whether the platform accepted the order.
-  [[nodiscard]] std::optional<failover_action> on_order(bool accepted, time_point now);
-  /// The store reported a claim of this VM or of another one.
-  void on_claim_seen(const target_id& target, time_point now);
+  /// The platform answered the order, or did not in time.
+  [[nodiscard]] std::optional<failover_action> on_order(order_outcome outcome, time_point now);
+  /// The store reported a claim.
+  /// @param is_own whether it is a claim of this VM.
+  void on_claim_seen(const target_id& target, bool is_own, time_point now);
 
   /// @return whether no failover is in progress.
   [[nodiscard]] bool is_idle() const noexcept { return step_ == step::idle; }
@@ -136,7 +143,11 @@
   std::size_t required_answers_ = 1;  ///< Answers that the running survey needs.
   term_id newest_fence_;
   target_id chosen_target_;
+  /// Target of an order that may still take effect. Until it can't, the fence stays: a commit that a replica
+  /// received in the meantime would be lost.
+  std::optional<target_id> unresolved_order_;
   target_id claimed_target_;
+  bool is_own_claim_ = false;
   std::optional<time_point> claim_seen_;
 };
 
--- a/packages/sql/failover_controller_test.cc
+++ b/packages/sql/failover_controller_test.cc
@@ -105,7 +105,7 @@
   failover_controller failover{{}};
   directory.announce(announcement(first, true, true), start);
   REQUIRE(failover.on_timer(directory, {0, true, 0}, start));
-  failover.on_claim_seen(second, start);
+  failover.on_claim_seen(second, false, start);
 
   CHECK_FALSE(failover.on_survey({{third, point(9), false}}, directory, start));
   CHECK(failover.is_idle());
@@ -115,7 +115,7 @@
   auto directory = directory_of_three();
   failover_controller failover{{}};
   directory.announce(announcement(first, true, true), start);
-  failover.on_claim_seen(second, start);
+  failover.on_claim_seen(second, false, start);
   CHECK_FALSE(failover.on_timer(directory, {0, true, 0}, start));
 
   directory.remove(second, start);
@@ -197,7 +197,30 @@
   REQUIRE(failover.on_timer(directory, synchronous_owner, start + milliseconds{250}));
   REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(11), false}}, directory, start));
   REQUIRE(failover.on_claim(7, start));
-  CHECK(as<resume_targets>(failover.on_order(false, start)) != nullptr);
+  CHECK(as<resume_targets>(failover.on_order(order_outcome::refused, start)) != nullptr);
+}
+
+// Guards against commits that replicas receive while an order without an answer may still take effect.
+TEST_CASE("An order without an answer keeps the pause until a newer order is accepted") {
+  const auto directory = directory_with_leaving_primary();
+  failover_controller failover{{}};
+  const std::vector<survey_answer> equals{{second, point(9), false}, {third, point(9), false}};
+  REQUIRE(failover.on_timer(directory, synchronous_owner, start));
+  REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(11), false}}, directory, start));
+  REQUIRE(failover.on_claim(7, start));
+  failover.on_claim_seen(third, true, start);
+  CHECK_FALSE(failover.on_order(order_outcome::unknown, start));
+
+  auto now = start + milliseconds{250};
+  REQUIRE(as<survey_targets>(failover.on_timer(directory, synchronous_owner, now)) != nullptr);
+  CHECK_FALSE(failover.on_survey({{second, point(9), false}}, directory, now));
+  now += milliseconds{250};
+  REQUIRE(failover.on_timer(directory, synchronous_owner, now));
+  const auto claim = failover.on_survey(equals, directory, now);
+  REQUIRE(as<claim_promotion>(claim) != nullptr);
+  CHECK(as<claim_promotion>(claim)->target == third);
+  REQUIRE(failover.on_claim(8, now));
+  CHECK_FALSE(failover.on_order(order_outcome::accepted, now));
 }
 
 TEST_CASE("A replica that is missing from the list counts as one that did not answer") {
