--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -47,7 +47,7 @@
 store_adapter::observer make_store_observer(
     entry_context& context, budget_adapter& budgets, membership_adapter& membership, statement_runner& runner,
     evacuation_adapter& evacuations, std::function<void()> on_environment, std::function<void()> on_vms,
-    std::function<void(const platform::promotion_record&)> on_promotion) {
+    std::function<void(const platform::promotion_record&, std::uint64_t)> on_promotion) {
   store_adapter::observer observer;
   observer.on_environment = [&budgets, &runner, on_environment = std::move(on_environment)] {
     budgets.configure();
@@ -95,7 +95,9 @@
                    for (auto* each : all) each->on_configuration();
                  },
                  [this] { update_ownership(); },
-                 [this](const platform::promotion_record& record) { failover_.on_promotion_seen(record); })),
+                 [this](const platform::promotion_record& record, std::uint64_t token) {
+                   failover_.on_promotion_seen(record, token);
+                 })),
       failover_(context, runner_, store_),
       guard_(context),
       caller_listener_(context.loop, [this](int handle) { accept(handle); }),
--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -10,10 +10,13 @@
 
 using std::chrono::milliseconds;
 
-// Targets that have not answered within this time are not considered for promotion.
-constexpr duration survey_time = milliseconds{350};
+// Targets that have not answered within this time count as targets without an answer.
+constexpr duration round_time = milliseconds{350};
 constexpr duration status_timeout = milliseconds{250};
 constexpr duration order_timeout = milliseconds{1'200};
+// A target without a free slot is asked again this soon, because statements take a slot as soon as it is
+// free.
+constexpr duration busy_pause = milliseconds{10};
 
 sql::order_outcome outcome_of(const result<void>& ordered) {
   if (ordered) return sql::order_outcome::accepted;
@@ -35,7 +38,9 @@
 
 void failover_adapter::on_tick() {
   const auto now = context_.loop.now();
-  for (auto& [service, each] : surveys_) advance(service, each);
+  std::vector<service_id> active;
+  for (const auto& [service, round] : rounds_) active.push_back(service);
+  for (const auto& service : active) advance(service);
   const auto& environment = context_.shared.environment;
   if (!environment) return;
   for (const auto& [service, directory] : context_.shared.services) {
@@ -49,13 +54,16 @@
   }
 }
 
-void failover_adapter::on_promotion_seen(const platform::promotion_record& record) {
+void failover_adapter::on_promotion_seen(const platform::promotion_record& record, std::uint64_t token) {
   log_info("promotion_claimed", {{"service", record.service.str()},
-                                 {"target", record.target.str()},
+                                 {"target", record.claim.target.str()},
+                                 {"phase", sql::name_of(record.claim.phase)},
+                                 {"attempt", record.claim.attempt},
                                  {"claimed_by", record.claimed_by.str()}});
-  attempts_[record.service] = record.attempt;
+  auto& controller = controller_of(record.service);
   const bool is_own = record.claimed_by == context_.settings.vm;
-  controller_of(record.service).on_claim_seen(record.target, is_own, context_.loop.now());
+  controller.on_claim_seen(record.claim, token, is_own, context_.loop.now());
+  if (controller.is_idle()) rounds_.erase(record.service);
 }
 
 void failover_adapter::perform(const service_id& service, const std::optional<sql::failover_action>& action) {
@@ -65,13 +73,19 @@
 
 void failover_adapter::run(const service_id& service, const sql::survey_targets& action) {
   log_primary_lost(service, action.reason);
-  auto& each = surveys_[service];
-  each = survey{};
-  each.pending = action.targets;
-  each.fence = action.fence;
-  each.is_active = true;
-  each.started = context_.loop.now();
-  advance(service, each);
+  start_round(service, {sql::command_kind::query_status}, action.targets);
+}
+
+void failover_adapter::run(const service_id& service, const sql::fence_targets& action) {
+  sql::target_command command{sql::command_kind::pause_replication};
+  command.term = action.term;
+  log_info("replication_paused", {{"service", service.str()}, {"term", action.term.value()}});
+  start_round(service, command, action.targets);
+}
+
+void failover_adapter::run(const service_id& service, const sql::resume_targets& action) {
+  log_warning("replication_resumed", {{"service", service.str()}});
+  start_round(service, {sql::command_kind::resume_replication}, action.targets);
 }
 
 void failover_adapter::log_primary_lost(const service_id& service, sql::loss_reason reason) const {
@@ -90,18 +104,59 @@
                                {"last_failure_ms", now - leader->last_failure}});
 }
 
-void failover_adapter::advance(const service_id& service, survey& each) {
-  if (!each.is_active) return;
+void failover_adapter::start_round(const service_id& service, const sql::target_command& command,
+                                   const std::vector<target_id>& targets) {
+  auto& round = rounds_[service];
+  round = command_round{};
+  round.command = command;
+  round.targets = targets;
+  round.pending = targets;
+  round.number = ++last_round_;
+  round.started = context_.loop.now();
+  advance(service);
+}
+
+void failover_adapter::advance(const service_id& service) {
+  const auto it = rounds_.find(service);
+  if (it == rounds_.end()) return;
+  const auto pending = it->second.pending;
+  for (const auto& target : pending) ask(service, it->second, target);
+  const bool is_answered = it->second.pending.empty() && it->second.running.empty();
+  if (!is_answered && context_.loop.now() - it->second.started < round_time) return;
+  const auto round = std::move(it->second);
+  rounds_.erase(it);
+  finish(service, round);
+}
+
+void failover_adapter::finish(const service_id& service, const command_round& round) {
   const auto now = context_.loop.now();
-  const auto pending = each.pending;
-  for (const auto& target : pending) ask(service, target);
-  const bool is_answered = each.pending.empty() && each.running == 0;
-  if (!is_answered && now - each.started < survey_time) return;
-  const auto answers = std::exchange(each, survey{}).answers;
-  perform(service, controller_of(service).on_survey(answers, context_.shared.services[service], now));
+  auto& controller = controller_of(service);
+  const auto& directory = context_.shared.services[service];
+  if (round.command.kind == sql::command_kind::pause_replication) {
+    perform(service, controller.on_fence(round.answers, directory, now));
+    return;
+  }
+  if (round.command.kind == sql::command_kind::query_status) {
+    perform(service, controller.on_survey(round.answers, directory, now));
+    if (controller.is_idle()) {
+      log_warning("promotion_given_up", {{"service", service.str()},
+                                         {"asked", std::uint64_t{round.targets.size()}},
+                                         {"answered", std::uint64_t{round.answers.size()}}});
+    }
+    return;
+  }
+  auto missing = round.pending;
+  missing.insert(missing.end(), round.running.begin(), round.running.end());
+  bool is_any_late = !round.running.empty();
+  for (const auto& each : round.answers) {
+    if (each.received) continue;
+    missing.push_back(each.target);
+    is_any_late = true;
+  }
+  perform(service, controller.on_resume(missing, is_any_late, now));
 }
 
-void failover_adapter::ask(const service_id& service, const target_id& target) {
+void failover_adapter::ask(const service_id& service, command_round& round, const target_id& target) {
   auto& pool = runner_.pool();
   const auto connection = pool.find_any_idle(target);
   const auto& environment = context_.shared.environment;
@@ -112,31 +167,34 @@
       static_cast<void>(pool.open(service, target, customer));
     return;
   }
-  auto& each = surveys_[service];
-  std::erase(each.pending, target);
-  ++each.running;
+  const auto now = context_.loop.now();
+  std::erase(round.pending, target);
+  round.running.push_back(target);
   pool.take(connection, connection_use::busy);
-  connection->batch_deadline = context_.loop.now() + status_timeout;
-  sql::target_command command{sql::command_kind::query_status};
-  if (each.fence) {
-    command.kind = sql::command_kind::pause_replication;
-    command.term = *each.fence;
-  }
-  connection->io.run({command}, [this, service, target, connection](const platform::batch_result& result) {
+  connection->batch_deadline = now + status_timeout;
+  connection->io.run({round.command}, [this, service, target, connection, now,
+                                       number = round.number](const platform::batch_result& result) {
     if (result.is_complete) {
       runner_.pool().release(connection);
     } else {
       runner_.pool().discard(connection);
     }
-    on_status(service, target, result);
+    on_status(service, number, target, now, result);
   });
 }
 
-void failover_adapter::on_status(const service_id& service, const target_id& target,
-                                 const platform::batch_result& result) {
-  auto& each = surveys_[service];
-  if (!each.is_active || each.running == 0) return;  // The survey is over.
-  --each.running;
+void failover_adapter::on_status(const service_id& service, std::uint64_t number, const target_id& target,
+                                 time_point sent, const platform::batch_result& result) {
+  const auto it = rounds_.find(service);
+  if (it == rounds_.end() || it->second.number != number) return;  // The round is over.
+  auto& round = it->second;
+  std::erase(round.running, target);
+  const bool was_busy = result.is_complete && result.replies.front().error == sql::target_error::busy;
+  if (was_busy) {
+    round.pending.push_back(target);
+    context_.loop.schedule(busy_pause, [this, service] { advance(service); });
+    return;
+  }
   sql::survey_answer answer;
   answer.target = target;
   if (result.is_complete && !result.replies.front().rows.empty()) {
@@ -144,41 +202,20 @@
       answer.received = status->received;
       answer.is_primary = status->is_primary;
       answer.fence_term = status->fence_term;
+      answer.term = status->term;
     }
   }
-  const bool was_busy = result.is_complete && result.replies.front().error == sql::target_error::busy;
-  if (was_busy) {
-    each.pending.push_back(target);
-    return;
-  }
-  each.answers.push_back(answer);
-  if (each.pending.empty() && each.running == 0) advance(service, each);
-}
-
-void failover_adapter::run(const service_id& service, const sql::resume_targets& action) {
-  log_warning("promotion_given_up", {{"service", service.str()}});
-  for (const auto& target : action.targets) {
-    const auto connection = runner_.pool().find_any_idle(target);
-    // Replication of a target that cannot be reached stays paused until the next promotion or
-    // until the target restarts.
-    if (!connection) continue;
-    runner_.pool().take(connection, connection_use::busy);
-    connection->batch_deadline = context_.loop.now() + status_timeout;
-    connection->io.run({{sql::command_kind::resume_replication}},
-                       [this, connection](const platform::batch_result& result) {
-                         if (result.is_complete) {
-                           runner_.pool().release(connection);
-                         } else {
-                           runner_.pool().discard(connection);
-                         }
-                       });
+  if (answer.is_primary) {
+    context_.shared.services[service].on_primary_answer(target, *answer.received, sent, context_.loop.now());
   }
+  round.answers.push_back(answer);
+  if (round.pending.empty() && round.running.empty()) advance(service);
 }
 
 void failover_adapter::run(const service_id& service, const sql::claim_promotion& action) {
-  store_.claim({service, action.target, context_.settings.vm, ++attempts_[service]},
-               [this, service](std::optional<std::uint64_t> token) {
-                 perform(service, controller_of(service).on_claim(token, context_.loop.now()));
+  store_.claim({service, context_.settings.vm, action.claim},
+               [this, service, attempt = action.claim.attempt](std::optional<std::uint64_t> token) {
+                 perform(service, controller_of(service).on_claim(attempt, token, context_.loop.now()));
                });
 }
 
@@ -192,7 +229,8 @@
                                            {"target", action.target.str()},
                                            {"accepted", ordered.has_value()},
                                            {"reason", ordered ? std::string{} : ordered.error().message}});
-        perform(service, controller_of(service).on_order(outcome_of(ordered), context_.loop.now()));
+        auto& controller = controller_of(service);
+        perform(service, controller.on_order(action.token, outcome_of(ordered), context_.loop.now()));
       });
 }
 
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -1,5 +1,6 @@
 #include "entry/store_adapter.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -217,10 +218,15 @@
 void store_adapter::claim(const platform::promotion_record& record,
                           std::function<void(std::optional<std::uint64_t>)> done) {
   const auto name = record.service.str();
-  store_.write(object_kind::promotions, name, platform::encode_promotion(record),
-               promotions_.version_of(name), write_timeout,
-               [name, done = std::move(done)](const result<store_version>& written) {
-                 if (written) return done(sql::fencing_token(*written));
+  // The watch may not have reported the last claim of this VM yet.
+  const auto expected = std::max(promotions_.version_of(name), own_claims_[name]);
+  store_.write(object_kind::promotions, name, platform::encode_promotion(record), expected, write_timeout,
+               [this, name, done = std::move(done)](const result<store_version>& written) {
+                 if (written) {
+                   own_claims_[name] = *written;
+                   return done(sql::fencing_token(*written));
+                 }
+                 own_claims_.erase(name);
                  log_info("promotion_not_claimed", {{"service", name}, {"reason", written.error().message}});
                  done(std::nullopt);
                });
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -26,7 +26,8 @@
     std::function<void()> on_environment;               ///< A newer configuration is in force.
     std::function<void(const service_id&)> on_targets;  ///< The targets of the service changed.
     std::function<void()> on_vms;                       ///< The list of VMs changed.
-    std::function<void(const platform::promotion_record&)> on_promotion;  ///< A promotion was claimed.
+    /// A promotion was claimed; the number is the fencing token of the claim.
+    std::function<void(const platform::promotion_record&, std::uint64_t)> on_promotion;
   };
 
   store_adapter(entry_context& context, peer_adapter& peers, observer callbacks);
@@ -84,6 +85,8 @@
   store_mirror targets_;
   store_mirror vms_;
   store_mirror promotions_;
+  std::map<std::string, store_version>
+      own_claims_;  ///< Versions of the newest claims of this VM, by service.
   std::map<target_id, service_id> service_of_target_;
   sql::report_filter reports_;
   std::map<target_id, platform::stored_object> refused_reports_;  ///< Of listed targets that are not in use.
--- a/packages/entry/store_observers.cc
+++ b/packages/entry/store_observers.cc
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "entry/store_adapter.h"
+#include "sql/fencing_token.h"
 
 // The part of the store adapter that handles the objects of targets, VMs and promotions.
 
@@ -110,18 +111,21 @@
 }
 
 store_mirror::observer store_adapter::promotion_observer() {
-  return {[this](const platform::stored_object& object) {
-            const auto record = platform::decode_promotion(object);
-            if (!record) {
-              log_warning("promotion_ignored", {{"object", object.name}, {"reason", record.error().message}});
-              return;
-            }
-            callbacks_.on_promotion(*record);
-          },
-          [](const std::string& name) {
-            log_warning("promotion_removed", {{"object", name}});
-          },
-          [] {}};
+  return {
+      [this](const platform::stored_object& object) {
+        auto record = platform::decode_promotion(object);
+        if (!record) {
+          log_warning("promotion_unreadable", {{"object", object.name}, {"reason", record.error().message}});
+          // Its VM may have told replicas to resume, and the command may be under way.
+          record =
+              platform::promotion_record{service_id{object.name}, {}, {{}, sql::promotion_phase::resuming}};
+        }
+        callbacks_.on_promotion(*record, sql::fencing_token(object.version));
+      },
+      [](const std::string& name) {
+        log_warning("promotion_removed", {{"object", name}});
+      },
+      [] {}};
 }
 
 }  // namespace bulrushlift::entry
--- a/packages/entry/synchronous_promotion_path_test.cc
+++ b/packages/entry/synchronous_promotion_path_test.cc
@@ -112,10 +112,37 @@
   writers.run_until("promotion", [&] { return deployment->database->primary() != "i-a"; });
   writers.run_for(3s);
 
-  CHECK(writers.lost() == std::vector<std::string>{});
+  CHECK(writers.lost().empty());
   const auto before = writers.acknowledged();
   writers.run_until("write at the new primary", [&] { return writers.acknowledged() > before; });
 }
 
+// Guards against a VM that gives up its own attempt and ends the pause of the replicas on which another VM's
+// order relies.
+TEST_CASE("A VM that gives up a promotion does not let commits pass the order of another VM") {
+  const auto deployment = start_synchronous("two_surveys");
+  auto& database = *deployment->database;
+  bool is_busy = false;
+  // The replicas have no free slot until two VMs wait for their answers. Then i-b has none for a RESUME.
+  database.on_control([&](const std::string& member, const std::string& verb) {
+    return control_fate{is_busy || (verb == "RESUME" && member == "i-b"), {}};
+  });
+  steady_writers writers{*deployment};
+  writers.run_for(500ms);
+  is_busy = true;
+  deployment->announce("i-a", "draining");
+  const auto surveys = [&](std::size_t vm) {
+    return deployment->count_logged(vm, "\"primary_lost\"") -
+           deployment->count_logged(vm, "\"promotion_given_up\"");
+  };
+  writers.run_until("two surveys at once", [&] { return surveys(0) + surveys(1) + surveys(2) >= 2; });
+  is_busy = false;
+
+  writers.run_until("promotion", [&] { return database.primary() != "i-a"; });
+  writers.run_for(1s);
+
+  CHECK(writers.lost().empty());
+}
+
 }  // namespace
 }  // namespace bulrushlift::entry
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -62,6 +62,11 @@
     return *value;
   }
 
+  [[nodiscard]] const json& array_or_empty(const char* name) {
+    static const json none = json::array();
+    return find(name) == nullptr ? none : array(name);
+  }
+
   [[nodiscard]] bool has_failed() const noexcept { return !invalid_field_.empty(); }
   [[nodiscard]] tl::unexpected<error> failure() const {
     return make_error(error_kind::invalid_document,
@@ -90,6 +95,9 @@
 // milliseconds, of which `first_number_of` needs the upper bits to be free.
 constexpr std::uint64_t max_slots = 65'536;
 constexpr std::uint64_t max_incarnation = std::uint64_t{1} << 42U;
+// Claims are made at most a few times a second.
+constexpr std::uint64_t max_attempt = std::uint64_t{1} << 48U;
+constexpr std::size_t max_unresolved_orders = 64;
 
 /// @return whether the text can be one field of a line to a target.
 bool is_field(std::string_view text) {
@@ -267,19 +275,35 @@
 }
 
 json encode_promotion(const promotion_record& record) {
-  return {
-      {"target", record.target.str()}, {"claimedBy", record.claimed_by.str()}, {"attempt", record.attempt}};
+  json unresolved = json::array();
+  for (const auto& each : record.claim.unresolved) unresolved.push_back(each.str());
+  return {{"target", record.claim.target.str()},
+          {"claimedBy", record.claimed_by.str()},
+          {"phase", sql::name_of(record.claim.phase)},
+          {"attempt", record.claim.attempt},
+          {"unresolved", unresolved}};
 }
 
 result<promotion_record> decode_promotion(const stored_object& object) {
   field_reader fields{object.content, "promotion"};
   promotion_record out;
   out.service = service_id{object.name};
-  out.target = target_id{fields.text("target")};
   out.claimed_by = vm_id{fields.text("claimedBy")};
-  // Records of older versions have no number.
-  out.attempt = fields.number_or("attempt", 0);
+  out.claim.target = target_id{fields.text("target")};
+  // Claims of older versions have none of the fields below, and were made to order the target.
+  const auto phase = sql::promotion_phase_from(fields.text_or("phase", "ordering"));
+  out.claim.attempt = fields.number_or("attempt", 0);
+  for (const auto& each : fields.array_or_empty("unresolved")) {
+    if (!each.is_string())
+      return make_error(error_kind::invalid_document, "promotion.unresolved[] is no text");
+    out.claim.unresolved.emplace_back(each.get<std::string>());
+  }
   if (fields.has_failed()) return fields.failure();
+  if (!phase) return make_error(error_kind::invalid_document, "promotion.phase is unknown");
+  if (out.claim.attempt > max_attempt || out.claim.unresolved.size() > max_unresolved_orders) {
+    return make_error(error_kind::invalid_document, "promotion.attempt or .unresolved is out of range");
+  }
+  out.claim.phase = *phase;
   return out;
 }
 
--- a/packages/platform/documents.h
+++ b/packages/platform/documents.h
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "platform/object_store.h"
 #include "sql/environment.h"
+#include "sql/promotion_claim.h"
 #include "sql/target_directory.h"
 
 /// @file
@@ -43,10 +44,8 @@
 /// The claim of a VM to promote a target of a service.
 struct promotion_record {
   service_id service;
-  target_id target;
   vm_id claimed_by;
-  /// Rises with each claim. The store gives a new version only to a write that changes the record.
-  std::uint64_t attempt = 0;
+  sql::promotion_claim claim;
 
   friend bool operator==(const promotion_record&, const promotion_record&) = default;
 };
--- a/packages/platform/documents_test.cc
+++ b/packages/platform/documents_test.cc
@@ -117,10 +117,35 @@
   CHECK_FALSE(decode_vm({"entry-1", {}, encode_vm(unreachable)}));
 }
 
+TEST_CASE("A claim of an older version is one to order its target") {
+  const auto content = json::parse(R"({"target":"i-1","claimedBy":"entry-1"})");
+  const auto record = decode_promotion({"s1", {}, content});
+  REQUIRE(record);
+  CHECK(record->claim == sql::promotion_claim{target_id{"i-1"}, sql::promotion_phase::ordering, 0, {}});
+}
+
+// Guards against a damaged claim that is taken for one with nothing under way.
+TEST_CASE("A malformed claim is refused") {
+  const promotion_record valid{service_id{"s1"}, vm_id{"entry-1"}, {target_id{"i-1"}}};
+  const std::vector<std::pair<const char*, const char*>> odd{
+      {"phase", "\"sleeping\""}, {"phase", "7"},          {"attempt", "18446744073709551615"},
+      {"attempt", "-1"},         {"attempt", "\"many\""}, {"unresolved", "[1]"},
+      {"unresolved", "\"i-1\""}, {"claimedBy", "null"},   {"target", "{}"}};
+  for (const auto& [field, text] : odd) {
+    CAPTURE(field, text);
+    auto content = encode_promotion(valid);
+    content[field] = json::parse(text);
+    CHECK_FALSE(decode_promotion({"s1", {}, content}));
+  }
+}
+
 TEST_CASE("Records of the proxy are decoded as they were encoded") {
   const vm_record vm{vm_id{"entry-1"}, "10.0.0.1:7", data_centre_id{"north"}, incarnation_id{5}};
   CHECK(*decode_vm({"entry-1", store_version{{}, object_version{1}}, encode_vm(vm)}) == vm);
-  const promotion_record promotion{service_id{"s1"}, target_id{"i-1"}, vm_id{"entry-1"}, 3};
+  const promotion_record promotion{
+      service_id{"s1"},
+      vm_id{"entry-1"},
+      {target_id{"i-1"}, sql::promotion_phase::fencing, 3, {target_id{"i-2"}, target_id{"i-1"}}}};
   CHECK(*decode_promotion({"s1", store_version{{}, object_version{1}}, encode_promotion(promotion)}) ==
         promotion);
 }
--- a/packages/sql/evacuated_targets_test.cc
+++ b/packages/sql/evacuated_targets_test.cc
@@ -109,7 +109,7 @@
   CHECK(surveyed(action) == std::vector<target_id>{third});
   const auto claim = failover.on_survey({{third, point(4), false}}, directory, start);
   REQUIRE(as<claim_promotion>(claim) != nullptr);
-  CHECK(as<claim_promotion>(claim)->target == third);
+  CHECK(as<claim_promotion>(claim)->claim.target == third);
 }
 
 TEST_CASE("An evacuation in the middle of a survey rules its answer out") {
@@ -123,7 +123,7 @@
       failover.on_survey({{second, point(9), false}, {third, point(4), false}}, directory, start);
 
   REQUIRE(as<claim_promotion>(claim) != nullptr);
-  CHECK(as<claim_promotion>(claim)->target == third);
+  CHECK(as<claim_promotion>(claim)->claim.target == third);
 }
 
 // Guards against a wait for the effect of an order, while its target must be replaced within the bound.
@@ -133,9 +133,9 @@
   failover_controller failover{{}};
   REQUIRE(failover.on_timer(directory, owner_view, start));
   REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(4), false}}, directory, start));
-  REQUIRE(failover.on_claim(7, start));
-  failover.on_claim_seen(second, false, start);
-  REQUIRE_FALSE(failover.on_order(order_outcome::accepted, start));
+  REQUIRE(failover.on_claim(1, 7, start));
+  failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, true, start);
+  REQUIRE_FALSE(failover.on_order(7, order_outcome::accepted, start));
 
   directory.set_evacuated({north, south});
   const auto next = failover.on_timer(directory, owner_view, start + milliseconds{20});
@@ -147,7 +147,7 @@
 TEST_CASE("A claim for a target in an evacuated data centre is not waited for") {
   auto directory = directory_of_three();
   failover_controller failover{{}};
-  failover.on_claim_seen(second, false, start);
+  failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, false, start);
   directory.set_evacuated({north, south});
 
   CHECK(surveyed(failover.on_timer(directory, owner_view, start)) == std::vector<target_id>{third});
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -12,16 +12,20 @@
 // Targets that the platform runs for a service; in a shorter list some are missing.
 constexpr std::size_t expected_group_size = 3;
 
-bool is_promotable(const target_directory& directory, const target_entry* entry) {
-  return entry != nullptr && !entry->info.is_leaving && !directory.is_evacuated(*entry);
-}
-
 /// @return whether a target is listed in a data centre that is evacuated.
 bool is_evacuated(const target_directory& directory, const target_id& target) {
   const auto* entry = directory.find(target);
   return entry != nullptr && directory.is_evacuated(*entry);
 }
 
+/// @return answers that are needed so that at least one target has every acknowledged commit.
+std::size_t answers_for_fence(const target_directory& directory, std::uint32_t synchronous_replicas) {
+  // Replicas that are missing from the list count too: one may have the only copy of a commit.
+  const auto replicas = std::max<std::size_t>(directory.targets().size(), expected_group_size) - 1;
+  const auto confirmations = std::min<std::size_t>(synchronous_replicas, replicas);
+  return replicas - confirmations + 1;
+}
+
 }  // namespace
 
 std::string_view name_of(loss_reason reason) noexcept {
@@ -34,6 +38,8 @@
       return "evacuated";
     case loss_reason::unreachable:
       return "unreachable";
+    case loss_reason::unfinished:
+      return "unfinished";
     case loss_reason::leaderless:
       break;
   }
@@ -59,65 +65,126 @@
   const bool is_silent = leader->failing_since && leader->failures >= options_.min_failures &&
                          now - *leader->failing_since >= options_.silence_timeout;
   if (is_silent) return loss_reason::unreachable;
+  const bool may_be_paused = late_fence_until_ && now >= *late_fence_until_;
+  if (may_be_paused || history_.is_unfinished(directory, is_synchronous(), now))
+    return loss_reason::unfinished;
   return std::nullopt;
 }
 
-bool failover_controller::is_claim_pending(const target_directory& directory, time_point now) const {
-  if (!claim_seen_ || now - *claim_seen_ >= options_.claim_timeout) return false;
-  // A newer order of this VM makes its earlier one void.
-  if (is_own_claim_ && unresolved_order_) return false;
-  // A claim for a target that is no longer listed has no effect.
-  return is_promotable(directory, directory.find(claimed_target_));
+void failover_controller::rest(time_point now) {
+  enter(step::idle, now);
+  next_survey_ = now + options_.retry_pause;
 }
 
 std::optional<failover_action> failover_controller::abandon(time_point now) {
-  enter(step::idle, now);
-  next_survey_ = now + options_.retry_pause;
-  if (fenced_.empty() || unresolved_order_) return std::nullopt;
-  return resume_targets{std::exchange(fenced_, {})};
+  const bool can_resume = history_.may_hold_fence(is_synchronous()) && !history_.has_unresolved();
+  if (can_resume && step_ != step::claiming_resume) {
+    return claim(step::claiming_resume, promotion_phase::resuming, now);
+  }
+  rest(now);
+  return std::nullopt;
+}
+
+failover_action failover_controller::claim(step next, promotion_phase phase, time_point now) {
+  enter(next, now);
+  proposed_ = history_.propose(chosen_target_, phase);
+  return claim_promotion{proposed_};
 }
 
 std::optional<failover_action> failover_controller::on_timer(const target_directory& directory,
                                                              const failover_view& view, time_point now) {
-  if (step_ == step::settling) {
-    // An order for a target that has been evacuated since is not waited for.
-    const bool is_over = now - step_started_ >= options_.order_timeout;
-    if (!is_over && !is_evacuated(directory, chosen_target_)) return std::nullopt;
-    enter(step::idle, now);
-  }
+  synchronous_replicas_ = view.synchronous_replicas;
+  history_.expire(now);
+  if (directory.primary() != nullptr) history_.on_primary(directory.primary()->info.target);
+  const auto reason = find_loss_reason(directory, view.is_list_trusted, now);
   if (step_ != step::idle) {
-    if (now - step_started_ < step_timeout) return std::nullopt;
-    return step_ == step::ordering ? on_order(order_outcome::unknown, now) : abandon(now);
+    auto action = continue_step(directory, reason, now);
+    if (action || step_ != step::idle) return action;
   }
-  const auto reason = find_loss_reason(directory, view.is_list_trusted, now);
   if (!reason) {
     lost_since_.reset();
     return std::nullopt;
   }
   if (!lost_since_) lost_since_ = now;
-  if (is_claim_pending(directory, now) || now < next_survey_) return std::nullopt;
+  if (history_.is_pending(directory, is_synchronous(), now) || now < next_survey_) return std::nullopt;
   if (now - *lost_since_ < options_.rank_delay * static_cast<duration::rep>(view.rank)) return std::nullopt;
-  survey_targets action;
-  action.reason = *reason;
-  for (const auto& [id, entry] : directory.targets()) {
-    if (is_promotable(directory, &entry) &&
-        (*reason == loss_reason::leaderless || directory.primary() != &entry)) {
-      action.targets.push_back(id);
+  return survey(directory, *reason, now);
+}
+
+std::optional<failover_action> failover_controller::continue_step(const target_directory& directory,
+                                                                  std::optional<loss_reason> reason,
+                                                                  time_point now) {
+  const bool is_late = now - step_started_ >= step_timeout;
+  switch (step_) {
+    case step::settling: {
+      const bool is_primary =
+          directory.primary() != nullptr && directory.primary()->info.target == chosen_target_;
+      if (is_synchronous() && is_primary && history_.is_holder()) return end_attempt(now);
+      // An order for a target that has been evacuated since is not waited for.
+      const bool is_over = now - step_started_ >= options_.order_timeout;
+      if (is_over || is_evacuated(directory, chosen_target_)) enter(step::idle, now);
+      return std::nullopt;
     }
+    case step::ordering:
+      return is_late ? end_order(order_outcome::unknown, now) : std::nullopt;
+    case step::fencing:
+      // The answers decide.
+      return std::nullopt;
+    case step::resuming: {
+      if (now < next_resume_) return std::nullopt;
+      // A primary that is lost meanwhile is more urgent than a replica that cannot be told.
+      const bool is_lost = reason && *reason != loss_reason::unfinished;
+      if (is_lost && history_.can_fence(now)) {
+        enter(step::idle, now);
+        return std::nullopt;
+      }
+      return resume(members_, now);
+    }
+    default:
+      return is_late ? abandon(now) : std::nullopt;
   }
-  if (action.targets.empty()) return std::nullopt;
-  required_answers_ = 1;
-  if (view.synchronous_replicas > 0) {
-    newest_fence_ = std::max(newest_fence_, directory.newest_term()).next();
-    action.fence = newest_fence_;
-    fenced_ = action.targets;
-    // Replicas that are missing from the list count too: one may have the only copy of a commit.
-    const auto replicas = std::max<std::size_t>(directory.targets().size(), expected_group_size) - 1;
-    const auto confirmations = std::min<std::size_t>(view.synchronous_replicas, replicas);
-    required_answers_ = replicas - confirmations + 1;
+}
+
+std::optional<failover_action> failover_controller::survey(const target_directory& directory,
+                                                           loss_reason reason, time_point now) {
+  members_.clear();
+  bool has_candidate = false;
+  for (const auto& [id, entry] : directory.targets()) {
+    if (reason != loss_reason::leaderless && directory.primary() == &entry) continue;
+    const bool is_candidate = is_promotable(directory, id);
+    has_candidate = has_candidate || is_candidate;
+    // A leaving replica confirms commits until it ends.
+    if (is_candidate || is_synchronous()) members_.push_back(id);
   }
+  if (reason == loss_reason::unfinished && !history_.has_unresolved()) {
+    return claim(step::claiming_resume, promotion_phase::resuming, now);
+  }
+  if (!has_candidate) return std::nullopt;
+  required_answers_ = is_synchronous() ? answers_for_fence(directory, synchronous_replicas_) : 1;
+  newest_term_ = std::max(newest_term_, directory.newest_term());
   enter(step::surveying, now);
-  return action;
+  return survey_targets{members_, reason};
+}
+
+void failover_controller::learn_terms(const survey_answer& answer) {
+  newest_term_ = std::max({newest_term_, answer.fence_term, answer.term});
+  if (answer.received) newest_term_ = std::max(newest_term_, answer.received->term);
+}
+
+const survey_answer* failover_controller::find_best(const std::vector<survey_answer>& answers,
+                                                    const target_directory& directory) const {
+  const survey_answer* best = nullptr;
+  for (const auto& each : answers) {
+    // The target that an earlier order may still promote goes before its equals, also if it is leaving: the
+    // other one would lack what it commits in between.
+    const bool is_preferred = is_synchronous() && history_.is_unresolved(each.target);
+    if (!each.received || !(is_preferred || is_promotable(directory, each.target))) continue;
+    if (best == nullptr || *each.received > *best->received ||
+        (is_preferred && *each.received == *best->received)) {
+      best = &each;
+    }
+  }
+  return best;
 }
 
 std::optional<failover_action> failover_controller::on_survey(const std::vector<survey_answer>& answers,
@@ -125,60 +192,155 @@
                                                               time_point now) {
   if (step_ != step::surveying) return std::nullopt;
   // Another VM has claimed the promotion.
-  if (is_claim_pending(directory, now)) return abandon(now);
-  const survey_answer* best = nullptr;
+  if (history_.is_pending(directory, is_synchronous(), now)) return abandon(now);
   std::size_t answered = 0;
   for (const auto& each : answers) {
-    newest_fence_ = std::max(newest_fence_, each.fence_term);
+    learn_terms(each);
     if (!each.received) continue;
     ++answered;
     // Another target is the primary already; the directory learns it from that target's answers.
-    if (each.is_primary && directory.primary() == nullptr) return abandon(now);
-    if (!is_promotable(directory, directory.find(each.target))) continue;
-    // The target that an earlier order may still promote goes before its equals, so that the two orders
-    // can't promote different ones.
-    const bool is_preferred = unresolved_order_ == each.target;
-    if (best == nullptr || *each.received > *best->received ||
-        (is_preferred && *each.received == *best->received)) {
-      best = &each;
+    if (each.is_primary && (is_synchronous() || directory.primary() == nullptr)) {
+      history_.on_primary(each.target);
+      return abandon(now);
     }
   }
+  const auto* best = find_best(answers, directory);
   if (best == nullptr || answered < required_answers_) return abandon(now);
   chosen_target_ = best->target;
-  enter(step::claiming, now);
-  return claim_promotion{chosen_target_};
+  if (!is_synchronous()) return claim(step::claiming_order, promotion_phase::ordering, now);
+  // A command to resume that is still under way could end the fence.
+  if (!history_.can_fence(now)) return abandon(now);
+  return claim(step::claiming_fence, promotion_phase::fencing, now);
+}
+
+failover_action failover_controller::fence(std::vector<target_id> targets, time_point now) {
+  if (step_ != step::fencing) enter(step::fencing, now);
+  return fence_targets{std::move(targets), fence_term_};
+}
+
+std::optional<failover_action> failover_controller::on_fence(const std::vector<survey_answer>& answers,
+                                                             const target_directory& directory,
+                                                             time_point now) {
+  if (step_ != step::fencing) return std::nullopt;
+  bool is_outdated = false;
+  for (const auto& each : answers) {
+    learn_terms(each);
+    if (!each.received) continue;
+    if (each.is_primary) {
+      history_.on_primary(each.target);
+      return abandon(now);
+    }
+    // A target ignores a pause whose term is not above all that it knows. If one knows a newer term than
+    // another, a promotion took effect in between and ended the pause of the other.
+    const bool is_confirmed = each.fence_term == fence_term_ && each.term < fence_term_;
+    const bool is_same_term = fenced_.empty() || fenced_.begin()->second.term == each.term;
+    is_outdated = is_outdated || !is_confirmed || !is_same_term;
+    if (is_confirmed) fenced_.insert_or_assign(each.target, each);
+  }
+  if (is_outdated) {
+    fenced_.clear();
+    fence_term_ = newest_term_.next();
+  }
+  if (fenced_.size() < members_.size()) late_fence_until_ = now + options_.claims.late_command_time;
+  if (fenced_.size() >= required_answers_) return choose_fenced(directory, now);
+  if (now - step_started_ >= options_.fence_timeout) return abandon(now);
+  std::vector<target_id> missing;
+  for (const auto& each : members_) {
+    if (!fenced_.contains(each)) missing.push_back(each);
+  }
+  return fence(std::move(missing), now);
+}
+
+std::optional<failover_action> failover_controller::choose_fenced(const target_directory& directory,
+                                                                  time_point now) {
+  std::vector<survey_answer> answers;
+  for (const auto& [id, answer] : fenced_) answers.push_back(answer);
+  const auto* best = find_best(answers, directory);
+  const bool is_newest =
+      best != nullptr && std::all_of(answers.begin(), answers.end(),
+                                     [&](const auto& each) { return *each.received <= *best->received; });
+  if (!is_newest) return abandon(now);
+  chosen_target_ = best->target;
+  return claim(step::claiming_order, promotion_phase::ordering, now);
+}
+
+std::optional<failover_action> failover_controller::on_claim(std::uint64_t attempt,
+                                                             std::optional<std::uint64_t> token,
+                                                             time_point now) {
+  if (attempt != proposed_.attempt) return std::nullopt;
+  if (token) history_.on_claim(proposed_, *token, true, now);
+  switch (step_) {
+    case step::claiming_fence:
+      if (!token) return abandon(now);
+      fenced_.clear();
+      fence_term_ = newest_term_.next();
+      return fence(members_, now);
+    case step::claiming_order:
+      if (!token) return abandon(now);
+      enter(step::ordering, now);
+      ordered_token_ = *token;
+      return order_promotion{chosen_target_, *token};
+    case step::claiming_resume:
+      if (!token) return abandon(now);
+      if (late_fence_until_ && now >= *late_fence_until_) late_fence_until_.reset();
+      enter(step::resuming, now);
+      return resume(members_, now);
+    case step::claiming_end:
+      enter(step::idle, now);
+      return std::nullopt;
+    default:
+      return std::nullopt;
+  }
 }
 
-std::optional<failover_action> failover_controller::on_claim(std::optional<std::uint64_t> token,
+std::optional<failover_action> failover_controller::on_order(std::uint64_t token, order_outcome outcome,
                                                              time_point now) {
-  if (step_ != step::claiming) return std::nullopt;
-  if (!token) return abandon(now);
-  enter(step::ordering, now);
-  return order_promotion{chosen_target_, *token};
+  if (step_ != step::ordering || token != ordered_token_) return std::nullopt;
+  return end_order(outcome, now);
 }
 
-std::optional<failover_action> failover_controller::on_order(order_outcome outcome, time_point now) {
-  if (step_ != step::ordering) return std::nullopt;
+std::optional<failover_action> failover_controller::end_order(order_outcome outcome, time_point now) {
   switch (outcome) {
     case order_outcome::accepted:
-      // The promotion itself ends the pause of replication, and earlier orders are refused from now on.
-      fenced_.clear();
-      unresolved_order_.reset();
+      history_.on_order_accepted(chosen_target_, now);
       enter(step::settling, now);
       return std::nullopt;
-    case order_outcome::unknown:
-      if (!fenced_.empty()) unresolved_order_ = chosen_target_;
-      break;
     case order_outcome::refused:
+      history_.on_order_refused(chosen_target_);
+      return abandon(now);
+    case order_outcome::unknown:
       break;
   }
-  return abandon(now);
+  rest(now);
+  // The next order makes this one void, so it is not waited for.
+  if (is_synchronous()) next_survey_ = now;
+  return std::nullopt;
+}
+
+failover_action failover_controller::resume(std::vector<target_id> targets, time_point now) {
+  next_resume_ = now + step_timeout;
+  return resume_targets{std::move(targets)};
+}
+
+std::optional<failover_action> failover_controller::on_resume(const std::vector<target_id>& missing,
+                                                              bool is_any_late, time_point now) {
+  if (step_ != step::resuming) return std::nullopt;
+  members_ = missing;
+  if (is_any_late) history_.on_resume_unanswered(now);
+  if (missing.empty() && history_.can_fence(now)) return end_attempt(now);
+  next_resume_ = missing.empty() ? *history_.late_resume_until() : now + options_.resume_pause;
+  return std::nullopt;
+}
+
+std::optional<failover_action> failover_controller::end_attempt(time_point now) {
+  return claim(step::claiming_end, promotion_phase::settled, now);
 }
 
-void failover_controller::on_claim_seen(const target_id& target, bool is_own, time_point now) {
-  claimed_target_ = target;
-  is_own_claim_ = is_own;
-  claim_seen_ = now;
+void failover_controller::on_claim_seen(const promotion_claim& claim, std::uint64_t token, bool is_own,
+                                        time_point now) {
+  history_.on_claim(claim, token, is_own, now);
+  const bool can_be_superseded = step_ == step::fencing || step_ == step::resuming || step_ == step::settling;
+  if (can_be_superseded && is_synchronous() && !history_.is_holder()) rest(now);
 }
 
 }  // namespace bulrushlift::sql
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string_view>
 #include <variant>
@@ -8,20 +9,31 @@
 
 #include "base/clock.h"
 #include "base/ids.h"
+#include "sql/promotion_claim.h"
+#include "sql/promotion_history.h"
 #include "sql/target_directory.h"
 
 /// @file
 /// Decides when to replace the primary of one service, and by which target.
 ///
-/// The steps are:
+/// Without synchronous replication the steps are:
 /// 1. Survey the other targets: ask each for the newest log point that it received.
 /// 2. Claim the promotion in the platform's store, by a conditional write whose version is
 ///    the fencing token. A VM that loses the claim waits for the winner.
 /// 3. Order the promotion with the token.
 ///
-/// With synchronous replication the survey also pauses replication on the replicas (the
-/// fence), and enough of them must answer that at least one has every acknowledged commit:
-/// n - s + 1 of n replicas, if s replicas confirm each commit.
+/// With synchronous replication a commit is lost if a replica confirms it after the log points were
+/// compared and before the promotion takes effect. The VM therefore claims first, and only the holder of
+/// the newest claim pauses and resumes replication:
+/// 1. Survey, to see whether enough targets answer.
+/// 2. Claim the right to fence, then pause replication on the other targets (the fence). Enough of them
+///    must confirm it that at least one has every acknowledged commit: n - s + 1 of n replicas, if s
+///    replicas confirm each commit.
+/// 3. Claim the order of the target with the newest log point, and order it.
+/// 4. Once it is the primary, claim that nothing is under way any more.
+/// The fence ends by a promotion, or by a claim to resume, which is made only while no order may still take
+/// effect. An attempt that another VM left half-way is finished: by an order of the same target, or by
+/// resuming replication.
 
 namespace bulrushlift::sql {
 
@@ -31,32 +43,36 @@
   leaving,      ///< The primary is shutting down.
   evacuated,    ///< The data centre of the primary is evacuated.
   unreachable,  ///< The primary does not answer.
-  leaderless    ///< No primary is known.
+  leaderless,   ///< No primary is known.
+  unfinished    ///< A VM has left an attempt half-way: replicas may be paused, or an order under way.
 };
 [[nodiscard]] std::string_view name_of(loss_reason reason) noexcept;
 
-/// Ask these targets for the newest log point that they received.
+/// Ask these targets for their replication status.
 struct survey_targets {
   std::vector<target_id> targets;
   loss_reason reason = loss_reason::unlisted;
-  /// Set with synchronous replication, where no acknowledged commit may be lost: the targets
-  /// stop receiving log entries of terms below this one.
-  std::optional<term_id> fence;
 };
-/// The promotion was abandoned: resume replication on these targets.
+/// Pause replication on these targets: they stop receiving log entries of terms below this one.
+struct fence_targets {
+  std::vector<target_id> targets;
+  term_id term;
+};
+/// Resume replication on these targets.
 struct resume_targets {
   std::vector<target_id> targets;
 };
-/// Record the claim in the store, on the condition that no other VM has recorded one meanwhile.
+/// Write a claim to the store, on the condition that no other VM has written one meanwhile.
 struct claim_promotion {
-  target_id target;
+  promotion_claim claim;
 };
 /// Order the promotion, with the fencing token of the claim.
 struct order_promotion {
   target_id target;
   std::uint64_t token = 0;
 };
-using failover_action = std::variant<survey_targets, resume_targets, claim_promotion, order_promotion>;
+using failover_action =
+    std::variant<survey_targets, fence_targets, resume_targets, claim_promotion, order_promotion>;
 
 /// What the platform's answer says of an order.
 enum class order_outcome : std::uint8_t {
@@ -65,12 +81,13 @@
   unknown    ///< No answer: the order may still take effect, until one with a newer token is accepted.
 };
 
-/// One target's answer to the survey.
+/// One target's answer to a survey or a fence.
 struct survey_answer {
   target_id target;
   std::optional<log_point> received;  ///< Newest received log point; nothing if the target did not answer.
   bool is_primary = false;            ///< The target reports itself as the primary.
   term_id fence_term = {};            ///< Highest fence that the target knows.
+  term_id term = {};                  ///< Newest term that the target knows.
 };
 
 /// Inputs of the controller besides the target directory.
@@ -90,19 +107,22 @@
   duration leaderless_timeout = std::chrono::milliseconds{800};
   /// Delay for each VM that ranks before this one, so that claims rarely collide.
   duration rank_delay = std::chrono::milliseconds{400};
-  /// A claim of another VM that has had no effect after this time is ignored.
-  duration claim_timeout = std::chrono::milliseconds{2'500};
+  /// Pause before a target that has not confirmed that it resumes is told again.
+  duration resume_pause = std::chrono::seconds{1};
   /// Pause after an abandoned attempt, because each survey takes a slot of every target.
   duration retry_pause = std::chrono::milliseconds{250};
   /// An order of this VM that has had no effect after this time is repeated with a new claim.
   duration order_timeout = std::chrono::milliseconds{1'500};
+  /// A fence that is not complete after this time is given up, because a leaving primary serves meanwhile.
+  duration fence_timeout = std::chrono::seconds{2};
+  claim_times claims = {};
 };
 
 /// Controls the failover of one service. Does no input or output: each event returns the
 /// action to perform, if any.
 class failover_controller {
  public:
-  explicit failover_controller(failover_options options) : options_(options) {}
+  explicit failover_controller(failover_options options) : options_(options), history_(options.claims) {}
 
   /// Call at regular intervals: starts a failover when the primary is lost, and abandons a step that
   /// got no answer in time.
@@ -112,43 +132,89 @@
   /// @param answers of the surveyed targets; those that did not answer may be missing or empty.
   [[nodiscard]] std::optional<failover_action> on_survey(const std::vector<survey_answer>& answers,
                                                          const target_directory& directory, time_point now);
-  /// The attempt to claim the promotion ended.
-  /// @param token version of the claim in the store, or nothing if the claim failed.
-  [[nodiscard]] std::optional<failover_action> on_claim(std::optional<std::uint64_t> token, time_point now);
-  /// The platform answered the order, or did not in time.
-  [[nodiscard]] std::optional<failover_action> on_order(order_outcome outcome, time_point now);
-  /// The store reported a claim.
+  /// The targets that were to pause replication answered, or did not in time.
+  [[nodiscard]] std::optional<failover_action> on_fence(const std::vector<survey_answer>& answers,
+                                                        const target_directory& directory, time_point now);
+  /// The targets that were to resume replication answered, or did not in time.
+  /// @param missing targets that have not confirmed it.
+  /// @param is_any_late whether one of them may carry out the command later.
+  [[nodiscard]] std::optional<failover_action> on_resume(const std::vector<target_id>& missing,
+                                                         bool is_any_late, time_point now);
+  /// The attempt to write a claim ended.
+  /// @param attempt of the claim.
+  /// @param token version of the claim in the store, or nothing if the write failed or its outcome is
+  /// unknown.
+  [[nodiscard]] std::optional<failover_action> on_claim(std::uint64_t attempt,
+                                                        std::optional<std::uint64_t> token, time_point now);
+  /// The platform answered an order, or did not in time.
+  /// @param token of the order.
+  [[nodiscard]] std::optional<failover_action> on_order(std::uint64_t token, order_outcome outcome,
+                                                        time_point now);
+  /// The store reported a claim. If it supersedes this VM's attempt, the controller is idle afterwards, and
+  /// commands that have not been sent yet must not be sent.
+  /// @param token version of the claim, as fencing token.
   /// @param is_own whether it is a claim of this VM.
-  void on_claim_seen(const target_id& target, bool is_own, time_point now);
+  void on_claim_seen(const promotion_claim& claim, std::uint64_t token, bool is_own, time_point now);
 
   /// @return whether no failover is in progress.
   [[nodiscard]] bool is_idle() const noexcept { return step_ == step::idle; }
 
  private:
-  enum class step : std::uint8_t { idle, surveying, claiming, ordering, settling };
-
+  enum class step : std::uint8_t {
+    idle,
+    surveying,
+    claiming_fence,
+    fencing,
+    claiming_order,
+    ordering,
+    settling,
+    claiming_resume,
+    resuming,
+    claiming_end
+  };
+
+  [[nodiscard]] bool is_synchronous() const noexcept { return synchronous_replicas_ > 0; }
   [[nodiscard]] std::optional<loss_reason> find_loss_reason(const target_directory& directory,
                                                             bool is_list_trusted, time_point now) const;
-  [[nodiscard]] bool is_claim_pending(const target_directory& directory, time_point now) const;
   void enter(step next, time_point now) noexcept;
-  /// Abandons the attempt and resumes replication on the fenced targets.
+  /// Goes on with a running step, or ends it because of its time limit.
+  [[nodiscard]] std::optional<failover_action> continue_step(const target_directory& directory,
+                                                             std::optional<loss_reason> reason,
+                                                             time_point now);
+  [[nodiscard]] std::optional<failover_action> end_order(order_outcome outcome, time_point now);
+  [[nodiscard]] std::optional<failover_action> survey(const target_directory& directory, loss_reason reason,
+                                                      time_point now);
+  [[nodiscard]] failover_action claim(step next, promotion_phase phase, time_point now);
+  [[nodiscard]] failover_action fence(std::vector<target_id> targets, time_point now);
+  [[nodiscard]] failover_action resume(std::vector<target_id> targets, time_point now);
+  [[nodiscard]] std::optional<failover_action> choose_fenced(const target_directory& directory,
+                                                             time_point now);
+  /// @return the answer of the promotable target with the newest log point, or null.
+  [[nodiscard]] const survey_answer* find_best(const std::vector<survey_answer>& answers,
+                                               const target_directory& directory) const;
+  void learn_terms(const survey_answer& answer);
+  void rest(time_point now);
+  /// Abandons the attempt. Resumes replication if this VM may have paused it and no order may take effect.
   [[nodiscard]] std::optional<failover_action> abandon(time_point now);
+  [[nodiscard]] std::optional<failover_action> end_attempt(time_point now);
 
   failover_options options_;
+  promotion_history history_;
+  std::uint32_t synchronous_replicas_ = 0;
   step step_ = step::idle;
   time_point step_started_{};
   std::optional<time_point> lost_since_;
-  time_point next_survey_{};          ///< Earliest time of the next survey.
-  std::vector<target_id> fenced_;     ///< Targets on which this VM paused replication.
-  std::size_t required_answers_ = 1;  ///< Answers that the running survey needs.
-  term_id newest_fence_;
+  time_point next_survey_{};                    ///< Earliest time of the next attempt.
+  std::vector<target_id> members_;              ///< Targets of the attempt besides the primary.
+  std::size_t required_answers_ = 1;            ///< Answers that the attempt needs.
+  term_id newest_term_;                         ///< Newest term or fence that any target is known to know.
+  term_id fence_term_;                          ///< Of the running fence.
+  std::map<target_id, survey_answer> fenced_;   ///< Answers of the targets that confirmed the running fence.
+  std::optional<time_point> late_fence_until_;  ///< Until when a command to pause may take effect.
+  time_point next_resume_{};                    ///< When the targets that miss are told to resume again.
+  promotion_claim proposed_;                    ///< The claim that is being written.
   target_id chosen_target_;
-  /// Target of an order that may still take effect. Until it can't, the fence stays: a commit that a replica
-  /// received in the meantime would be lost.
-  std::optional<target_id> unresolved_order_;
-  target_id claimed_target_;
-  bool is_own_claim_ = false;
-  std::optional<time_point> claim_seen_;
+  std::uint64_t ordered_token_ = 0;
 };
 
 }  // namespace bulrushlift::sql
--- a/packages/sql/failover_controller_test.cc
+++ b/packages/sql/failover_controller_test.cc
@@ -70,9 +70,9 @@
       failover.on_survey({{second, point(7), false}, {third, point(9), false}}, directory, now);
   const auto* claim = as<claim_promotion>(chosen);
   REQUIRE(claim != nullptr);
-  CHECK(claim->target == third);
+  CHECK(claim->claim.target == third);
 
-  const auto ordered = failover.on_claim(42, now);
+  const auto ordered = failover.on_claim(1, 42, now);
   const auto* order = as<order_promotion>(ordered);
   REQUIRE(order != nullptr);
   CHECK(order->target == third);
@@ -105,7 +105,7 @@
   failover_controller failover{{}};
   directory.announce(announcement(first, true, true), start);
   REQUIRE(failover.on_timer(directory, {0, true, 0}, start));
-  failover.on_claim_seen(second, false, start);
+  failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, false, start);
 
   CHECK_FALSE(failover.on_survey({{third, point(9), false}}, directory, start));
   CHECK(failover.is_idle());
@@ -115,7 +115,7 @@
   auto directory = directory_of_three();
   failover_controller failover{{}};
   directory.announce(announcement(first, true, true), start);
-  failover.on_claim_seen(second, false, start);
+  failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, false, start);
   CHECK_FALSE(failover.on_timer(directory, {0, true, 0}, start));
 
   directory.remove(second, start);
@@ -130,7 +130,7 @@
   REQUIRE(failover.on_timer(directory, {0, true, 0}, start));
   REQUIRE(failover.on_survey({{second, point(1), false}}, directory, start));
 
-  CHECK_FALSE(failover.on_claim(std::nullopt, start));
+  CHECK_FALSE(failover.on_claim(1, std::nullopt, start));
   CHECK_FALSE(failover.on_timer(directory, {0, true, 0}, start + milliseconds{200}));
   CHECK(as<survey_targets>(failover.on_timer(directory, {0, true, 0}, start + milliseconds{250})) != nullptr);
 }
@@ -144,94 +144,6 @@
   CHECK(failover.on_timer(directory, {0, true, 0}, start + std::chrono::seconds{5}));
 }
 
-const failover_view synchronous_owner{0, true, 1};
-
-target_directory directory_with_leaving_primary() {
-  auto directory = directory_of_three();
-  directory.on_answer(first, log_point{term_id{4}, log_position{9}}, start);
-  directory.announce(announcement(first, true, true), start);
-  return directory;
-}
-
-// Guards against losing a commit that only the replica which did not answer has.
-TEST_CASE("With one synchronous replica both replicas must answer, and receive nothing meanwhile") {
-  const auto directory = directory_with_leaving_primary();
-  failover_controller failover{{}};
-
-  const auto action = failover.on_timer(directory, synchronous_owner, start);
-  const auto* survey = as<survey_targets>(action);
-  REQUIRE(survey != nullptr);
-  CHECK(survey->fence == term_id{5});
-
-  const auto partial =
-      failover.on_survey({{second, point(9), false}, {third, std::nullopt, false}}, directory, start);
-  const auto* resumed = as<resume_targets>(partial);
-  REQUIRE(resumed != nullptr);
-  CHECK(resumed->targets == std::vector<target_id>{second, third});
-
-  REQUIRE(failover.on_timer(directory, synchronous_owner, start + milliseconds{250}));
-  const auto whole =
-      failover.on_survey({{second, point(9), false}, {third, point(11), false}}, directory, start);
-  REQUIRE(as<claim_promotion>(whole) != nullptr);
-  CHECK(as<claim_promotion>(whole)->target == third);
-}
-
-TEST_CASE("Each survey fences above every pause that a target knows") {
-  const auto directory = directory_with_leaving_primary();
-  failover_controller failover{{}};
-  REQUIRE(failover.on_timer(directory, synchronous_owner, start));
-  static_cast<void>(failover.on_survey({{second, std::nullopt, false, term_id{8}}}, directory, start));
-
-  const auto again = failover.on_timer(directory, synchronous_owner, start + milliseconds{250});
-  REQUIRE(as<survey_targets>(again) != nullptr);
-  CHECK(as<survey_targets>(again)->fence == term_id{9});
-}
-
-TEST_CASE("A promotion that is given up lets the replicas receive again") {
-  const auto directory = directory_with_leaving_primary();
-  failover_controller failover{{}};
-  REQUIRE(failover.on_timer(directory, synchronous_owner, start));
-  REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(11), false}}, directory, start));
-  CHECK(as<resume_targets>(failover.on_claim(std::nullopt, start)) != nullptr);
-
-  REQUIRE(failover.on_timer(directory, synchronous_owner, start + milliseconds{250}));
-  REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(11), false}}, directory, start));
-  REQUIRE(failover.on_claim(7, start));
-  CHECK(as<resume_targets>(failover.on_order(order_outcome::refused, start)) != nullptr);
-}
-
-// Guards against commits that replicas receive while an order without an answer may still take effect.
-TEST_CASE("An order without an answer keeps the pause until a newer order is accepted") {
-  const auto directory = directory_with_leaving_primary();
-  failover_controller failover{{}};
-  const std::vector<survey_answer> equals{{second, point(9), false}, {third, point(9), false}};
-  REQUIRE(failover.on_timer(directory, synchronous_owner, start));
-  REQUIRE(failover.on_survey({{second, point(9), false}, {third, point(11), false}}, directory, start));
-  REQUIRE(failover.on_claim(7, start));
-  failover.on_claim_seen(third, true, start);
-  CHECK_FALSE(failover.on_order(order_outcome::unknown, start));
-
-  auto now = start + milliseconds{250};
-  REQUIRE(as<survey_targets>(failover.on_timer(directory, synchronous_owner, now)) != nullptr);
-  CHECK_FALSE(failover.on_survey({{second, point(9), false}}, directory, now));
-  now += milliseconds{250};
-  REQUIRE(failover.on_timer(directory, synchronous_owner, now));
-  const auto claim = failover.on_survey(equals, directory, now);
-  REQUIRE(as<claim_promotion>(claim) != nullptr);
-  CHECK(as<claim_promotion>(claim)->target == third);
-  REQUIRE(failover.on_claim(8, now));
-  CHECK_FALSE(failover.on_order(order_outcome::accepted, now));
-}
-
-TEST_CASE("A replica that is missing from the list counts as one that did not answer") {
-  auto directory = directory_with_leaving_primary();
-  directory.remove(third, start);
-  failover_controller failover{{}};
-  REQUIRE(failover.on_timer(directory, synchronous_owner, start));
-
-  CHECK(as<claim_promotion>(failover.on_survey({{second, point(9), false}}, directory, start)) == nullptr);
-}
-
 TEST_CASE("A survey that finds a primary promotes nothing") {
   auto directory = directory_of_three();
   failover_controller failover{{}};
--- /dev/null
+++ b/packages/sql/promotion_claim.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "base/ids.h"
+
+/// @file
+/// The claim of a promotion, which the VMs that monitor a service share in the platform's store. Each claim
+/// replaces the one before on the condition that the VM knows it, so the claims of a service form one
+/// sequence, and a VM that takes over knows what its predecessor left under way.
+
+namespace bulrushlift::sql {
+
+/// What the VM that holds the newest claim may do.
+enum class promotion_phase : std::uint8_t {
+  ordering,  ///< It orders the promotion of the target.
+  fencing,   ///< It pauses replication on the replicas. It has ordered nothing with this claim.
+  resuming,  ///< It resumes replication. Commands to resume may still take effect.
+  settled    ///< Nothing of the promotion is under way.
+};
+[[nodiscard]] std::string_view name_of(promotion_phase phase) noexcept;
+/// @return the phase with that name, or nothing if no phase has it.
+[[nodiscard]] std::optional<promotion_phase> promotion_phase_from(std::string_view name) noexcept;
+
+/// One claim.
+struct promotion_claim {
+  target_id target;  ///< The target to promote, as far as it is known.
+  promotion_phase phase = promotion_phase::ordering;
+  /// Rises with each claim. The store gives a new version only to a write that changes the record.
+  std::uint64_t attempt = 0;
+  /// Targets of orders with earlier claims that may still take effect.
+  std::vector<target_id> unresolved = {};
+
+  friend bool operator==(const promotion_claim&, const promotion_claim&) = default;
+};
+
+}  // namespace bulrushlift::sql
--- /dev/null
+++ b/packages/sql/promotion_history.cc
@@ -0,0 +1,123 @@
+#include "sql/promotion_history.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace bulrushlift::sql {
+namespace {
+
+constexpr std::array<std::pair<promotion_phase, std::string_view>, 4> phase_names{{
+    {promotion_phase::ordering, "ordering"},
+    {promotion_phase::fencing, "fencing"},
+    {promotion_phase::resuming, "resuming"},
+    {promotion_phase::settled, "settled"},
+}};
+
+}  // namespace
+
+std::string_view name_of(promotion_phase phase) noexcept {
+  const auto* it = std::find_if(phase_names.begin(), phase_names.end(),
+                                [phase](const auto& each) { return each.first == phase; });
+  return it == phase_names.end() ? "ordering" : it->second;
+}
+
+std::optional<promotion_phase> promotion_phase_from(std::string_view name) noexcept {
+  const auto* it = std::find_if(phase_names.begin(), phase_names.end(),
+                                [name](const auto& each) { return each.second == name; });
+  if (it == phase_names.end()) return std::nullopt;
+  return it->first;
+}
+
+bool is_promotable(const target_directory& directory, const target_id& target) {
+  const auto* entry = directory.find(target);
+  return entry != nullptr && !entry->info.is_leaving && !directory.is_evacuated(*entry);
+}
+
+void promotion_history::on_claim(const promotion_claim& claim, std::uint64_t token, bool is_own,
+                                 time_point now) {
+  if (newest_token_ && token <= *newest_token_) return;
+  // A store that came back older lacks claims, of which something may still be under way.
+  const bool is_older = newest_token_ && claim.attempt <= newest_.attempt;
+  const bool is_of_this_process = is_own && proposed_attempt_ == claim.attempt;
+  newest_token_ = token;
+  newest_seen_ = now;
+  note_orders(claim, !is_older, now);
+  if (!is_older && claim.phase == promotion_phase::settled) late_resume_until_.reset();
+  if (claim.phase == promotion_phase::resuming && !is_of_this_process) on_resume_unanswered(now);
+  if (is_older && newest_.phase != promotion_phase::settled) return;
+  const auto attempt = std::max(newest_.attempt, claim.attempt);
+  newest_ = claim;
+  newest_.attempt = attempt;
+  is_own_ = is_own;
+}
+
+void promotion_history::note_orders(const promotion_claim& claim, bool is_complete, time_point now) {
+  const auto until = now + times_.late_command_time;
+  if (is_complete) {
+    std::erase_if(unresolved_, [&claim](const auto& each) {
+      return std::find(claim.unresolved.begin(), claim.unresolved.end(), each.first) ==
+             claim.unresolved.end();
+    });
+  }
+  for (const auto& each : claim.unresolved) unresolved_.try_emplace(each, until);
+  if (claim.phase != promotion_phase::ordering) return;
+  const auto it = unresolved_.find(claim.target);
+  earlier_until_ = it == unresolved_.end() ? std::nullopt : std::optional{it->second};
+  unresolved_.insert_or_assign(claim.target, until);
+}
+
+promotion_claim promotion_history::propose(const target_id& target, promotion_phase phase) {
+  proposed_attempt_ = std::max(newest_.attempt, proposed_attempt_.value_or(0)) + 1;
+  promotion_claim claim{target, phase, *proposed_attempt_};
+  for (const auto& [each, until] : unresolved_) claim.unresolved.push_back(each);
+  return claim;
+}
+
+void promotion_history::on_order_refused(const target_id& target) {
+  if (earlier_until_) {
+    unresolved_.insert_or_assign(target, *earlier_until_);
+  } else {
+    unresolved_.erase(target);
+  }
+}
+
+void promotion_history::on_order_accepted(const target_id& target, time_point now) {
+  unresolved_ = {{target, now + times_.late_command_time}};
+}
+
+void promotion_history::expire(time_point now) {
+  std::erase_if(unresolved_, [now](const auto& each) { return now >= each.second; });
+}
+
+bool promotion_history::may_hold_fence(bool is_synchronous) const noexcept {
+  const bool is_ordering = is_synchronous && newest_.phase == promotion_phase::ordering;
+  return is_own_ && (newest_.phase == promotion_phase::fencing || is_ordering);
+}
+
+bool promotion_history::is_pending(const target_directory& directory, bool is_synchronous,
+                                   time_point now) const {
+  if (!newest_token_ || now - newest_seen_ >= times_.claim_timeout) return false;
+  if (is_synchronous) {
+    // A VM goes on with its own attempt; once it has given up, the others go first.
+    const bool is_settled = newest_.phase == promotion_phase::settled;
+    if (is_own_ == !is_settled) return false;
+    // An order may have been accepted for a target that is leaving by now.
+    return newest_.phase == promotion_phase::resuming || directory.find(newest_.target) != nullptr;
+  }
+  // A claim for a target that cannot be promoted any more has no effect.
+  return is_promotable(directory, newest_.target);
+}
+
+bool promotion_history::is_unfinished(const target_directory& directory, bool is_synchronous,
+                                      time_point now) const {
+  if (!newest_token_ || newest_.phase == promotion_phase::settled) return false;
+  if (!is_own_ && now - newest_seen_ < times_.claim_timeout) return false;
+  if (newest_.phase != promotion_phase::ordering) return true;
+  const auto* leader = directory.primary();
+  const bool has_succeeded =
+      leader != nullptr && leader->info.target == newest_.target && unresolved_.empty();
+  return is_synchronous && !has_succeeded;
+}
+
+}  // namespace bulrushlift::sql
--- /dev/null
+++ b/packages/sql/promotion_history.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "base/clock.h"
+#include "sql/promotion_claim.h"
+#include "sql/target_directory.h"
+
+/// @file
+/// What one VM knows of the claims of promotions of a service, and what may still be under way because of
+/// them: orders that may take effect, and commands to resume replication that may end a later fence.
+
+namespace bulrushlift::sql {
+
+/// Time limits of claims.
+struct claim_times {
+  /// A claim of another VM that has had no effect after this time is ignored.
+  duration claim_timeout = std::chrono::milliseconds{2'500};
+  /// A command to a target, or an order, that got no answer may take effect this much later.
+  duration late_command_time = std::chrono::seconds{15};
+};
+
+class promotion_history {
+ public:
+  explicit promotion_history(claim_times times) : times_(times) {}
+
+  /// A claim was read from the store or written to it. One that is not newer than the newest known claim has
+  /// no effect.
+  /// @param token version of the claim, as fencing token.
+  /// @param is_own whether it is a claim of this VM, perhaps of an earlier process.
+  void on_claim(const promotion_claim& claim, std::uint64_t token, bool is_own, time_point now);
+  /// @return the claim to write next.
+  [[nodiscard]] promotion_claim propose(const target_id& target, promotion_phase phase);
+
+  /// The order with the newest claim has no effect. An earlier order of the same target may still have one.
+  void on_order_refused(const target_id& target);
+  /// The order with the newest claim was accepted: the platform refuses all earlier ones from now on. It
+  /// takes effect once the target is the primary.
+  void on_order_accepted(const target_id& target, time_point now);
+  /// The target is the primary, so its order has taken effect.
+  void on_primary(const target_id& target) { unresolved_.erase(target); }
+  /// Forgets orders that can't take effect any more.
+  void expire(time_point now);
+  /// A target did not answer a command to resume replication.
+  void on_resume_unanswered(time_point now) { late_resume_until_ = now + times_.late_command_time; }
+
+  /// @return whether this VM holds the newest claim that it knows.
+  [[nodiscard]] bool is_holder() const noexcept { return is_own_; }
+  /// @return whether this VM holds a claim under which replicas may be paused.
+  /// @param is_synchronous whether replicas confirm commits.
+  [[nodiscard]] bool may_hold_fence(bool is_synchronous) const noexcept;
+  /// @return whether the claim is to be waited for before the next attempt.
+  /// @param is_synchronous whether replicas confirm commits.
+  [[nodiscard]] bool is_pending(const target_directory& directory, bool is_synchronous, time_point now) const;
+  /// @return whether the newest claim left something under way that nobody is going on with.
+  /// @param is_synchronous whether replicas confirm commits.
+  [[nodiscard]] bool is_unfinished(const target_directory& directory, bool is_synchronous,
+                                   time_point now) const;
+  /// @return whether an order may still take effect.
+  [[nodiscard]] bool has_unresolved() const noexcept { return !unresolved_.empty(); }
+  /// @return whether an order of the target may still take effect.
+  [[nodiscard]] bool is_unresolved(const target_id& target) const { return unresolved_.contains(target); }
+  /// @return until when a command to resume may end a fence that is set now, if one may.
+  [[nodiscard]] const std::optional<time_point>& late_resume_until() const noexcept {
+    return late_resume_until_;
+  }
+  /// @return whether a fence that is set now holds.
+  [[nodiscard]] bool can_fence(time_point now) const {
+    return !late_resume_until_ || now >= *late_resume_until_;
+  }
+
+ private:
+  void note_orders(const promotion_claim& claim, bool is_complete, time_point now);
+
+  claim_times times_;
+  promotion_claim newest_{{}, promotion_phase::settled};
+  std::optional<std::uint64_t> newest_token_;
+  time_point newest_seen_{};
+  bool is_own_ = false;
+  std::optional<std::uint64_t> proposed_attempt_;  ///< Of the newest claim that this process wrote.
+  std::map<target_id, time_point> unresolved_;     ///< Until when an order of each target may take effect.
+  std::optional<time_point> earlier_until_;  ///< The same for orders of the newest target before its claim.
+  std::optional<time_point> late_resume_until_;
+};
+
+/// @return whether a target can be promoted: it is listed, stays, and its data centre is in use.
+[[nodiscard]] bool is_promotable(const target_directory& directory, const target_id& target);
+
+}  // namespace bulrushlift::sql
