After a claim of another VM a service is left to it for 3.3 s

Cause: a claim whose target was leaving or gone was not waited for, so the next VM acted while the first one went on too; and a VM waited 2.5 s for its own claim although its order had no answer or was refused. Change: only the VM that claimed goes on at once. After three orders in a row that were not accepted the others go first. Two tests asked that such a claim be waited for by nobody. That contradicts the rule; in their place tests ask that another VM waits 3.3 s and no longer in each of these cases, and that the claiming VM does not wait.

--- a/packages/sql/evacuated_targets_test.cc
+++ b/packages/sql/evacuated_targets_test.cc
@@ -143,14 +143,17 @@
   CHECK(surveyed(next) == std::vector<target_id>{third});
 }
 
-// Guards against a claim of a VM that has not heard of the evacuation yet: it must not hold up the others.
-TEST_CASE("A claim for a target in an evacuated data centre is not waited for") {
+// Guards against a wait for ever for a VM that has not heard of the evacuation yet. Until then it is left the
+// service, because it goes on itself once it hears of it, and two VMs must not order in turn.
+TEST_CASE("A claim for a target in an evacuated data centre is waited for no longer than any other") {
   auto directory = directory_of_three();
   failover_controller failover{{}};
   failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, false, start);
   directory.set_evacuated({north, south});
 
-  CHECK(surveyed(failover.on_timer(directory, owner_view, start)) == std::vector<target_id>{third});
+  CHECK_FALSE(failover.on_timer(directory, owner_view, start));
+  CHECK(surveyed(failover.on_timer(directory, owner_view, start + milliseconds{3'300})) ==
+        std::vector<target_id>{third});
 }
 
 // Guards against a lost commit: replicas that cannot be asked count as well, so nobody is promoted without
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -9,6 +9,9 @@
 // A step without an answer is abandoned after this time.
 constexpr duration step_timeout = std::chrono::seconds{2};
 
+// VMs that monitor a service, at most.
+constexpr int monitor_count = 3;
+
 // Targets that the platform runs for a service; in a shorter list some are missing.
 constexpr std::size_t expected_group_size = 3;
 
@@ -300,21 +303,25 @@
 }
 
 std::optional<failover_action> failover_controller::end_order(order_outcome outcome, time_point now) {
-  switch (outcome) {
-    case order_outcome::accepted:
-      history_.on_order_accepted(chosen_target_, now);
-      enter(step::settling, now);
-      return std::nullopt;
-    case order_outcome::refused:
-      history_.on_order_refused(chosen_target_);
-      return abandon(now);
-    case order_outcome::unknown:
-      break;
+  if (outcome == order_outcome::accepted) {
+    failed_orders_ = 0;
+    history_.on_order_accepted(chosen_target_, now);
+    enter(step::settling, now);
+    return std::nullopt;
   }
-  rest(now);
-  // The next order makes this one void, so it is not waited for.
-  if (is_synchronous()) next_survey_ = now;
-  return std::nullopt;
+  std::optional<failover_action> action;
+  if (outcome == order_outcome::refused) {
+    history_.on_order_refused(chosen_target_);
+    action = abandon(now);
+  } else {
+    // The next order makes this one void, so it is not waited for.
+    enter(step::idle, now);
+    next_survey_ = now;
+  }
+  if (++failed_orders_ % options_.orders_in_turn == 0) {
+    next_survey_ = now + options_.claims.claim_timeout + monitor_count * options_.rank_delay;
+  }
+  return action;
 }
 
 failover_action failover_controller::resume(std::vector<target_id> targets, time_point now) {
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -113,6 +113,8 @@
   duration retry_pause = std::chrono::milliseconds{250};
   /// An order of this VM that has had no effect after this time is repeated with a new claim.
   duration order_timeout = std::chrono::milliseconds{1'500};
+  /// After this many orders in a row that were not accepted, the other VMs go first.
+  std::uint32_t orders_in_turn = 3;
   /// A fence that is not complete after this time is given up, because a leaving primary serves meanwhile.
   duration fence_timeout = std::chrono::seconds{2};
   claim_times claims = {};
@@ -215,6 +217,7 @@
   promotion_claim proposed_;                    ///< The claim that is being written.
   target_id chosen_target_;
   std::uint64_t ordered_token_ = 0;
+  std::uint32_t failed_orders_ = 0;  ///< In a row.
 };
 
 }  // namespace bulrushlift::sql
--- a/packages/sql/failover_controller_test.cc
+++ b/packages/sql/failover_controller_test.cc
@@ -111,17 +111,65 @@
   CHECK(failover.is_idle());
 }
 
-TEST_CASE("A claim for a target that is gone does not hold up the next one") {
+// Guards against two VMs that order promotions in turn, because the target of the first one is leaving or
+// gone.
+TEST_CASE("A VM leaves a service to the one that claimed last for 3 s") {
   auto directory = directory_of_three();
   failover_controller failover{{}};
   directory.announce(announcement(first, true, true), start);
   failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, false, start);
+  SECTION("the target stays") {}
+  SECTION("the target leaves") { directory.announce(announcement(second, true, true), start); }
+  SECTION("the target is gone") { directory.remove(second, start); }
+
   CHECK_FALSE(failover.on_timer(directory, {0, true, 0}, start));
+  CHECK_FALSE(failover.on_timer(directory, {0, true, 0}, start + milliseconds{3'000}));
+  CHECK(failover.on_timer(directory, {0, true, 0}, start + milliseconds{3'300}));
+}
 
+TEST_CASE("A VM goes on at once if the target of its own claim is gone") {
+  auto directory = directory_of_three();
+  failover_controller failover{{}};
+  directory.announce(announcement(first, true, true), start);
+  failover.on_claim_seen({second, promotion_phase::ordering, 1}, 7, true, start);
   directory.remove(second, start);
+
   CHECK(failover.on_timer(directory, {0, true, 0}, start));
 }
 
+// Guards against a leaving primary that gets statements too long because each lost answer of the platform
+// costs the wait for a claim.
+TEST_CASE("An order without an answer is followed by the next one at once") {
+  auto directory = directory_of_three();
+  failover_controller failover{{}};
+  directory.announce(announcement(first, true, true), start);
+  REQUIRE(failover.on_timer(directory, {0, true, 0}, start));
+  REQUIRE(failover.on_survey({{second, point(1), false}}, directory, start));
+  REQUIRE(failover.on_claim(1, 7, start));
+  const auto now = start + milliseconds{1'200};
+  CHECK_FALSE(failover.on_order(7, order_outcome::unknown, now));
+
+  CHECK(as<survey_targets>(failover.on_timer(directory, {0, true, 0}, now)) != nullptr);
+}
+
+// Guards against a VM that cannot reach the platform and keeps the others from ordering.
+TEST_CASE("A VM whose orders are refused in a row leaves the service to the others for some time") {
+  auto directory = directory_of_three();
+  failover_controller failover{{}};
+  directory.announce(announcement(first, true, true), start);
+  auto now = start;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    REQUIRE(as<survey_targets>(failover.on_timer(directory, {0, true, 0}, now)) != nullptr);
+    REQUIRE(failover.on_survey({{second, point(1), false}}, directory, now));
+    REQUIRE(failover.on_claim(i, i, now));
+    CHECK_FALSE(failover.on_order(i, order_outcome::refused, now));
+    now += milliseconds{250};
+  }
+
+  CHECK_FALSE(failover.on_timer(directory, {0, true, 0}, now + milliseconds{4'000}));
+  CHECK(failover.on_timer(directory, {0, true, 0}, now + milliseconds{4'250}));
+}
+
 // Guards against rapid surveys, which take slots of the targets, while a VM cannot reach the store.
 TEST_CASE("A claim that failed is followed by a new survey after a pause") {
   auto directory = directory_of_three();
--- a/packages/sql/promotion_history.cc
+++ b/packages/sql/promotion_history.cc
@@ -42,6 +42,8 @@
   const bool is_of_this_process = is_own && proposed_attempt_ == claim.attempt;
   newest_token_ = token;
   newest_seen_ = now;
+  is_accepted_ = false;
+  if (claim.phase == promotion_phase::ordering) (is_own ? own_order_seen_ : other_order_seen_) = now;
   note_orders(claim, !is_older, now);
   if (!is_older && claim.phase == promotion_phase::settled) late_resume_until_.reset();
   if (claim.phase == promotion_phase::resuming && !is_of_this_process) on_resume_unanswered(now);
@@ -83,6 +85,7 @@
 }
 
 void promotion_history::on_order_accepted(const target_id& target, time_point now) {
+  is_accepted_ = true;
   unresolved_ = {{target, now + times_.late_command_time}};
 }
 
@@ -97,16 +100,18 @@
 
 bool promotion_history::is_pending(const target_directory& directory, bool is_synchronous,
                                    time_point now) const {
-  if (!newest_token_ || now - newest_seen_ >= times_.claim_timeout) return false;
-  if (is_synchronous) {
-    // A VM goes on with its own attempt; once it has given up, the others go first.
-    const bool is_settled = newest_.phase == promotion_phase::settled;
-    if (is_own_ == !is_settled) return false;
-    // An order may have been accepted for a target that is leaving by now.
-    return newest_.phase == promotion_phase::resuming || directory.find(newest_.target) != nullptr;
-  }
-  // A claim for a target that cannot be promoted any more has no effect.
-  return is_promotable(directory, newest_.target);
+  const auto is_recent = [&](const std::optional<time_point>& seen) {
+    return seen && now - *seen < times_.claim_timeout;
+  };
+  // Also if the target of the claim is gone by now: its VM goes on at once.
+  if (is_recent(other_order_seen_)) return true;
+  if (!newest_token_ || !is_recent(newest_seen_)) return false;
+  const bool is_settled = newest_.phase == promotion_phase::settled;
+  if (is_synchronous && !is_own_) return !is_settled;
+  // A VM goes on with its own attempt. If it has given up before it ordered, the others go first; after an
+  // order they don't.
+  if (is_synchronous) return is_settled && !is_recent(own_order_seen_);
+  return is_own_ && is_accepted_ && is_promotable(directory, newest_.target);
 }
 
 bool promotion_history::is_unfinished(const target_directory& directory, bool is_synchronous,
--- a/packages/sql/promotion_history.h
+++ b/packages/sql/promotion_history.h
@@ -16,8 +16,9 @@
 
 /// Time limits of claims.
 struct claim_times {
-  /// A claim of another VM that has had no effect after this time is ignored.
-  duration claim_timeout = std::chrono::milliseconds{2'500};
+  /// After a claim of another VM this VM leaves the service to it for this time: the operators' platform
+  /// allows two VMs to order in turn only 3 s apart, and an order follows its claim after a moment.
+  duration claim_timeout = std::chrono::milliseconds{3'300};
   /// A command to a target, or an order, that got no answer may take effect this much later.
   duration late_command_time = std::chrono::seconds{15};
 };
@@ -79,6 +80,9 @@
   std::optional<std::uint64_t> newest_token_;
   time_point newest_seen_{};
   bool is_own_ = false;
+  bool is_accepted_ = false;                       ///< The order with the newest claim was accepted.
+  std::optional<time_point> own_order_seen_;       ///< When the newest claim of this VM to order was seen.
+  std::optional<time_point> other_order_seen_;     ///< When the newest claim of another VM to order was seen.
   std::optional<std::uint64_t> proposed_attempt_;  ///< Of the newest claim that this process wrote.
   std::map<target_id, time_point> unresolved_;     ///< Until when an order of each target may take effect.
   std::optional<time_point> earlier_until_;  ///< The same for orders of the newest target before its claim.
--- a/packages/sql/synchronous_failover_test.cc
+++ b/packages/sql/synchronous_failover_test.cc
@@ -19,7 +19,7 @@
 const failover_view owner{0, true, 1};
 
 constexpr auto retry_pause = milliseconds{250};
-constexpr auto claim_timeout = milliseconds{2'500};
+constexpr auto claim_timeout = milliseconds{3'300};
 constexpr auto late_command_time = seconds{15};
 
 log_point point(std::uint64_t position) { return {term_id{4}, log_position{position}}; }
