A leaving primary gets no statement after its drain bound

Cause: the choice of the target for work that only the primary can do did not look at whether it leaves. Change: the directory keeps since when a target leaves; a leaving primary is a candidate for 1.5 s less than the bound (setting target_drain_ms from drainMs, 7 s without it). What then finds no primary waits within its objective and is refused as not run.

--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -152,6 +152,7 @@
   check(
       read_duration<std::chrono::milliseconds>(document, "configuration_bound_ms", out.configuration_bound));
   check(read_duration<std::chrono::milliseconds>(document, "evacuation_bound_ms", out.evacuation_bound));
+  check(read_duration<std::chrono::milliseconds>(document, "target_drain_ms", out.target_drain_bound));
   check(read_duration<std::chrono::milliseconds>(document, "target_report_interval_ms",
                                                  out.target_report_interval));
   check(read_number(document, "cold_statements_per_second", out.cold.per_second));
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -50,6 +51,9 @@
   duration configuration_bound = std::chrono::seconds{3};
   /// Interval of the reports that a target makes to the store.
   duration target_report_interval = std::chrono::milliseconds{1'200};
+  /// Nothing is sent to a target later than this after the store has confirmed that it is leaving; zero for
+  /// no such bound.
+  duration target_drain_bound = std::chrono::seconds{7};
   /// Within this time of its confirmation an evacuation is in force on all VMs; zero if none are watched.
   duration evacuation_bound{};
   sql::cold_allowance cold;  ///< What a cold target may get from all VMs together.
@@ -62,6 +66,14 @@
   /// refusal, are enough for an investigation.
   std::uint32_t log_lines_per_second = 100;
 
+  /// @return how long a leaving primary gets work after this VM heard of it; zero for no limit. Reports of
+  ///   targets reach a VM, and statements a target, within a second or so.
+  [[nodiscard]] duration target_drain_time() const {
+    if (target_drain_bound == duration::zero()) return {};
+    constexpr duration report_delay = std::chrono::milliseconds{1'500};
+    return std::max<duration>(target_drain_bound - report_delay, std::chrono::milliseconds{1});
+  }
+
   friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
 
--- a/packages/entry/entry_settings_test.cc
+++ b/packages/entry/entry_settings_test.cc
@@ -11,7 +11,7 @@
     "readiness_listen": "10.0.0.1:2", "peer_listen": "10.0.0.1:3", "metrics_listen": "10.0.0.1:4",
     "store": "10.0.0.9:5", "promotions": "10.0.0.9:6", "drain_seconds": 6, "log_level": "warning",
     "rate_window_seconds": 5, "rate_overage": 0.1, "rate_slack": 20,
-    "configuration_bound_ms": 6000, "evacuation_bound_ms": 4000,
+    "configuration_bound_ms": 6000, "evacuation_bound_ms": 4000, "target_drain_ms": 7000,
     "cold_statements_per_second": 30, "cold_overage": 1.5, "cold_slack": 5, "target_report_interval_ms": 800,
     "log_lines_per_second": 20})";
 }
@@ -30,6 +30,7 @@
   CHECK(parsed->configuration_bound == std::chrono::seconds{6});
   CHECK(parsed->cold == sql::cold_allowance{30, 1.5, 5});
   CHECK(parsed->evacuation_bound == std::chrono::seconds{4});
+  CHECK(parsed->target_drain_time() == std::chrono::milliseconds{5'500});
   CHECK(parsed->target_report_interval == std::chrono::milliseconds{800});
 }
 
--- a/packages/entry/statement_move.cc
+++ b/packages/entry/statement_move.cc
@@ -24,8 +24,9 @@
 std::vector<target_id> statement_runner::candidates_for(const work_item& item) const {
   const auto directory = context_.shared.services.find(item.route->service);
   if (directory == context_.shared.services.end()) return {};
-  auto candidates = directory->second.candidates({required_point(item), context_.settings.data_centre},
-                                                 context_.loop.now());
+  const sql::target_requirements requirements{required_point(item), context_.settings.data_centre,
+                                              context_.settings.target_drain_time()};
+  auto candidates = directory->second.candidates(requirements, context_.loop.now());
   if (item.excluded_target && candidates.size() > 1) std::erase(candidates, *item.excluded_target);
   return candidates;
 }
--- a/packages/sql/target_directory.cc
+++ b/packages/sql/target_directory.cc
@@ -22,6 +22,9 @@
 // Freshness samples older than the largest staleness bound in use are dropped.
 constexpr duration sample_lifetime = seconds{30};
 
+// A target that is leaving when this VM first hears of it has been for an unknown time.
+constexpr duration assumed_leaving_time = seconds{3};
+
 // Failures of a target from which on its older connections are doubtful. Replacing them after a single lost
 // answer would cost a slot of the target for each.
 constexpr std::uint32_t doubtful_failures = 2;
@@ -48,6 +51,11 @@
   const bool was_primary = entry.info.is_primary;
   if (is_other_process) entry = target_entry{};
   entry.info = info;
+  if (!info.is_leaving) {
+    entry.leaving_since.reset();
+  } else if (!entry.leaving_since) {
+    entry.leaving_since = is_other_process ? now - assumed_leaving_time : now;
+  }
   if (is_other_process) health_.remove(info.target);
   health_.update(info.target, info.slots, info.is_leaving);
   if (is_other_process) {
@@ -212,6 +220,9 @@
   if (!request.required_point) {
     const auto* leader = primary();
     if (leader == nullptr || is_evacuated(*leader) || leader->blocked_until > now) return {};
+    const bool is_over = request.drain_time > duration::zero() && leader->leaving_since &&
+                         now - *leader->leaving_since >= request.drain_time;
+    if (is_over) return {};
     return {leader->info.target};
   }
   std::vector<std::pair<int, target_id>> ranked;
--- a/packages/sql/target_directory.h
+++ b/packages/sql/target_directory.h
@@ -47,12 +47,14 @@
   time_point last_failure{};                ///< Last failure; of meaning while `failing_since` is set.
   time_point blocked_until{};               ///< End of the pause after a failure.
   time_point behind_until{};                ///< End of the pause after the target lacked a required point.
+  std::optional<time_point> leaving_since;  ///< When the target was first known to be shutting down.
 };
 
 /// What a statement requires of a target.
 struct target_requirements {
   std::optional<log_point> required_point;  ///< Log point to be applied; nothing if only the primary will do.
   data_centre_id preferred_data_centre;     ///< Data centre whose targets are preferred.
+  duration drain_time{};  ///< How long a leaving primary gets work; zero for as long as it leads.
 };
 
 /// The targets of one service. Not thread-safe; used from the daemon's event loop only.
--- a/packages/sql/target_directory_test.cc
+++ b/packages/sql/target_directory_test.cc
@@ -81,6 +81,37 @@
   CHECK(directory.candidates(read_at(1, "south"), start) == std::vector<target_id>{third, first});
 }
 
+// Guards against a leaving primary that gets statements until another target leads, however long that takes.
+TEST_CASE("A leaving primary gets work for its drain time only") {
+  auto directory = directory_of_three();
+  auto leaving = announcement(first, "north", true);
+  leaving.is_leaving = true;
+  const auto is_used = [&](duration age) {
+    return !directory.candidates({std::nullopt, data_centre_id{"north"}, milliseconds{5'000}}, start + age)
+                .empty();
+  };
+
+  SECTION("from the report on") {
+    directory.announce(leaving, start);
+    directory.announce(leaving, start + milliseconds{3'000});
+    CHECK(is_used(milliseconds{4'999}));
+    CHECK_FALSE(is_used(milliseconds{5'000}));
+    CHECK_FALSE(
+        directory.candidates({std::nullopt, data_centre_id{"north"}}, start + milliseconds{9'000}).empty());
+  }
+  SECTION("after a start of this VM it may have been leaving for some time") {
+    directory.remove(first, start);
+    directory.announce(leaving, start);
+    CHECK(is_used(milliseconds{1'999}));
+    CHECK_FALSE(is_used(milliseconds{2'000}));
+  }
+  SECTION("until it stays") {
+    directory.announce(leaving, start);
+    directory.announce(announcement(first, "north", true), start + milliseconds{100});
+    CHECK(is_used(milliseconds{9'000}));
+  }
+}
+
 TEST_CASE("A failed target is blocked and comes back with its first answer") {
   auto directory = directory_of_three();
   directory.on_failure(first, start);
