--- a/packages/entry/entry_context.cc
+++ b/packages/entry/entry_context.cc
@@ -27,13 +27,13 @@
 std::vector<vm_id> monitors_of(const service_id& service, const shared_state& shared) {
   std::vector<vm_id> monitors;
   const auto add = [&monitors](const std::optional<vm_id>& vm) {
-    if (!vm || monitors.size() == monitors_per_service) return;
+    if (!vm || monitors.size() == sql::monitors_per_service) return;
     if (std::find(monitors.begin(), monitors.end(), *vm) == monitors.end()) monitors.push_back(*vm);
   };
   if (shared.gateways.is_in_use()) {
     for (const auto& each : data_centres_of(service, shared)) add(holder_of(service, each, shared));
   }
-  while (monitors.size() < monitors_per_service) {
+  while (monitors.size() < sql::monitors_per_service) {
     const auto next = shared.ownership.first_except(service, monitors);
     if (!next) break;
     monitors.push_back(*next);
--- a/packages/entry/entry_context.h
+++ b/packages/entry/entry_context.h
@@ -22,6 +22,7 @@
 #include "sql/connection_share.h"
 #include "sql/environment.h"
 #include "sql/evacuation_set.h"
+#include "sql/promotion_claim.h"
 #include "sql/target_directory.h"
 
 /// @file
@@ -55,10 +56,6 @@
   std::optional<time_point> last_deadline;  ///< `entry_daemon`; latest deadline of a statement of a session.
 };
 
-/// Number of VMs that monitor the primary of a service and may start a failover, in case one of them
-/// cannot reach the store.
-inline constexpr std::size_t monitors_per_service = 3;
-
 /// @return the data centres with targets of a service, that of the primary or the last known one first.
 [[nodiscard]] std::vector<data_centre_id> data_centres_of(const service_id& service,
                                                           const shared_state& shared);
--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -1,5 +1,6 @@
 #include "entry/failover_adapter.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/log.h"
@@ -123,8 +124,9 @@
   for (const auto& target : pending) ask(service, it->second, target);
   const bool is_answered = it->second.pending.empty() && it->second.running.empty();
   if (!is_answered && context_.loop.now() - it->second.started < round_time) return;
-  const auto round = std::move(it->second);
+  auto round = std::move(it->second);
   rounds_.erase(it);
+  for (const auto& target : round.running) round.answers.push_back({target, std::nullopt});
   finish(service, round);
 }
 
@@ -138,22 +140,19 @@
   }
   if (round.command.kind == sql::command_kind::query_status) {
     perform(service, controller.on_survey(round.answers, directory, now));
-    if (controller.is_idle()) {
-      log_warning("promotion_given_up", {{"service", service.str()},
-                                         {"asked", std::uint64_t{round.targets.size()}},
-                                         {"answered", std::uint64_t{round.answers.size()}}});
-    }
+    if (!controller.is_idle()) return;
+    const auto answered = std::count_if(round.answers.begin(), round.answers.end(),
+                                        [](const auto& each) { return each.received.has_value(); });
+    log_warning("promotion_given_up", {{"service", service.str()},
+                                       {"asked", std::uint64_t{round.targets.size()}},
+                                       {"answered", static_cast<std::uint64_t>(answered)}});
     return;
   }
   auto missing = round.pending;
-  missing.insert(missing.end(), round.running.begin(), round.running.end());
-  bool is_any_late = !round.running.empty();
   for (const auto& each : round.answers) {
-    if (each.received) continue;
-    missing.push_back(each.target);
-    is_any_late = true;
+    if (!each.received) missing.push_back(each.target);
   }
-  perform(service, controller.on_resume(missing, is_any_late, now));
+  perform(service, controller.on_resume(missing, missing.size() > round.pending.size(), now));
 }
 
 void failover_adapter::ask(const service_id& service, command_round& round, const target_id& target) {
--- a/packages/entry/failover_adapter.h
+++ b/packages/entry/failover_adapter.h
@@ -34,9 +34,9 @@
   struct command_round {
     sql::target_command command;
     std::vector<target_id> targets;
-    std::vector<target_id> pending;  ///< Targets that have not been asked yet.
-    std::vector<target_id> running;  ///< Targets that have been asked and have not answered.
-    std::vector<sql::survey_answer> answers;
+    std::vector<target_id> pending;           ///< Targets that have not been asked yet.
+    std::vector<target_id> running;           ///< Targets that have been asked and have not answered.
+    std::vector<sql::survey_answer> answers;  ///< Of targets that were asked; empty without an answer.
     std::uint64_t number =
         0;  ///< Differs between rounds, so that a late answer is not taken for a newer round's.
     time_point started{};
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -9,9 +9,6 @@
 // A step without an answer is abandoned after this time.
 constexpr duration step_timeout = std::chrono::seconds{2};
 
-// VMs that monitor a service, at most.
-constexpr int monitor_count = 3;
-
 // Targets that the platform runs for a service; in a shorter list some are missing.
 constexpr std::size_t expected_group_size = 3;
 
@@ -228,7 +225,10 @@
   bool is_outdated = false;
   for (const auto& each : answers) {
     learn_terms(each);
-    if (!each.received) continue;
+    if (!each.received) {
+      late_fence_until_ = now + options_.claims.late_command_time;
+      continue;
+    }
     if (each.is_primary) {
       history_.on_primary(each.target);
       return abandon(now);
@@ -244,7 +244,6 @@
     fenced_.clear();
     fence_term_ = newest_term_.next();
   }
-  if (fenced_.size() < members_.size()) late_fence_until_ = now + options_.claims.late_command_time;
   if (fenced_.size() >= required_answers_) return choose_fenced(directory, now);
   if (now - step_started_ >= options_.fence_timeout) return abandon(now);
   std::vector<target_id> missing;
@@ -319,7 +318,8 @@
     next_survey_ = now;
   }
   if (++failed_orders_ % options_.orders_in_turn == 0) {
-    next_survey_ = now + options_.claims.claim_timeout + monitor_count * options_.rank_delay;
+    next_survey_ = now + options_.claims.claim_timeout +
+                   options_.rank_delay * static_cast<duration::rep>(monitors_per_service);
   }
   return action;
 }
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -135,6 +135,7 @@
   [[nodiscard]] std::optional<failover_action> on_survey(const std::vector<survey_answer>& answers,
                                                          const target_directory& directory, time_point now);
   /// The targets that were to pause replication answered, or did not in time.
+  /// @param answers of the targets that were told; without a log point of those that did not answer.
   [[nodiscard]] std::optional<failover_action> on_fence(const std::vector<survey_answer>& answers,
                                                         const target_directory& directory, time_point now);
   /// The targets that were to resume replication answered, or did not in time.
@@ -209,11 +210,11 @@
   time_point next_survey_{};                    ///< Earliest time of the next attempt.
   std::vector<target_id> members_;              ///< Targets of the attempt besides the primary.
   std::size_t required_answers_ = 1;            ///< Answers that the attempt needs.
-  term_id newest_term_;                         ///< Newest term or fence that any target is known to know.
+  term_id newest_term_;                         ///< Newest term or fence that any target has reported.
   term_id fence_term_;                          ///< Of the running fence.
   std::map<target_id, survey_answer> fenced_;   ///< Answers of the targets that confirmed the running fence.
   std::optional<time_point> late_fence_until_;  ///< Until when a command to pause may take effect.
-  time_point next_resume_{};                    ///< When the targets that miss are told to resume again.
+  time_point next_resume_{};                    ///< When targets that have not confirmed are told again.
   promotion_claim proposed_;                    ///< The claim that is being written.
   target_id chosen_target_;
   std::uint64_t ordered_token_ = 0;
--- a/packages/sql/promotion_claim.h
+++ b/packages/sql/promotion_claim.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -14,6 +15,10 @@
 
 namespace bulrushlift::sql {
 
+/// Number of VMs that monitor the primary of a service and may start a failover, in case one of them
+/// cannot reach the store.
+inline constexpr std::size_t monitors_per_service = 3;
+
 /// What the VM that holds the newest claim may do.
 enum class promotion_phase : std::uint8_t {
   ordering,  ///< It orders the promotion of the target.
--- a/packages/sql/promotion_world_fake.h
+++ b/packages/sql/promotion_world_fake.h
@@ -21,10 +21,9 @@
 
 /// Probabilities, in percent, of a fault of one message.
 struct promotion_faults {
-  int lost_answer = 5;     ///< The message takes effect, and its answer is lost.
-  int late = 5;            ///< It is carried out 2 to 12 s later, without an answer.
-  int busy = 10;           ///< A target has no free slot.
-  bool has_events = true;  ///< VMs crash and freeze, paths are cut, the store comes back older.
+  int lost_answer = 5;  ///< The message takes effect, and its answer is lost.
+  int late = 5;         ///< It is carried out 2 to 12 s later, without an answer.
+  int busy = 10;        ///< A target has no free slot.
 };
 
 class promotion_world {
@@ -80,6 +79,7 @@
   void start_vm(std::size_t number);
   void tick(vm& each);
   void announce(const member& each);
+  [[nodiscard]] std::uint64_t next_token();
   void publish();
   void see_claim(vm& each, const stored_claim& claim, std::uint64_t change);
   void perform(vm& each, const std::optional<failover_action>& action);
--- a/packages/sql/target_directory.cc
+++ b/packages/sql/target_directory.cc
@@ -132,10 +132,6 @@
   return entry->failures >= doubtful_failures && idle_since <= *entry->failing_since;
 }
 
-void target_directory::on_promotion_ordered(const target_id& target, time_point now) {
-  if (targets_.contains(target)) set_primary(target, now);
-}
-
 void target_directory::on_started(const target_id& target) {
   const auto it = targets_.find(target);
   if (it != targets_.end()) ++it->second.running;
--- a/packages/sql/target_directory.h
+++ b/packages/sql/target_directory.h
@@ -89,9 +89,6 @@
   ///   while no primary is known, because one elsewhere may be found at any moment.
   [[nodiscard]] bool is_blocked_by_evacuation(bool is_for_primary) const;
 
-  /// This VM or another one ordered the promotion of `target`.
-  void on_promotion_ordered(const target_id& target, time_point now);
-
   /// A statement of this VM started on the target.
   void on_started(const target_id& target);
   /// As above.
