No fence is trusted for 15 s after the store came back older

A store that comes back older loses the claim of a VM that has told replicas to resume; another VM that had not read it sets a fence, and the late command ends it. And a VM that restarts forgot that its own commands to pause may be under way; both replicas then stayed paused. Change: a VM that hears of a restore of the store sets no fence for 15 s, the time in which a message may come late; a VM that finds a claim of its own from before its start tells the replicas to resume after that time.

--- a/packages/entry/entry_daemon.cc
+++ b/packages/entry/entry_daemon.cc
@@ -47,6 +47,7 @@
 store_adapter::observer make_store_observer(
     entry_context& context, budget_adapter& budgets, membership_adapter& membership, statement_runner& runner,
     evacuation_adapter& evacuations, std::function<void()> on_environment, std::function<void()> on_vms,
+    std::function<void()> on_restored,
     std::function<void(const platform::promotion_record&, std::uint64_t)> on_promotion) {
   store_adapter::observer observer;
   observer.on_environment = [&budgets, &runner, on_environment = std::move(on_environment)] {
@@ -67,6 +68,7 @@
     context.counters.gauge("vms").set(static_cast<double>(context.shared.vms.size()));
     budgets.configure();
   };
+  observer.on_restored = std::move(on_restored);
   observer.on_promotion = std::move(on_promotion);
   return observer;
 }
@@ -94,7 +96,7 @@
                    for (const auto& [key, each] : sessions_) all.push_back(key);
                    for (auto* each : all) each->on_configuration();
                  },
-                 [this] { update_ownership(); },
+                 [this] { update_ownership(); }, [this] { failover_.on_store_restored(); },
                  [this](const platform::promotion_record& record, std::uint64_t token) {
                    failover_.on_promotion_seen(record, token);
                  })),
--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -55,6 +55,12 @@
   }
 }
 
+void failover_adapter::on_store_restored() {
+  const auto now = context_.loop.now();
+  for (const auto& [service, directory] : context_.shared.services)
+    controller_of(service).on_store_restored(now);
+}
+
 void failover_adapter::on_promotion_seen(const platform::promotion_record& record, std::uint64_t token) {
   log_info("promotion_claimed", {{"service", record.service.str()},
                                  {"target", record.claim.target.str()},
--- a/packages/entry/failover_adapter.h
+++ b/packages/entry/failover_adapter.h
@@ -25,6 +25,8 @@
 
   /// Advances the surveys and runs the timers of the controllers. Call periodically.
   void on_tick();
+  /// Handles a store that came back from an older copy.
+  void on_store_restored();
   /// Handles a claim of a promotion, by this VM or another one, that was read from the store.
   /// @param token version of the claim, as fencing token.
   void on_promotion_seen(const platform::promotion_record& record, std::uint64_t token);
--- a/packages/entry/store_adapter.cc
+++ b/packages/entry/store_adapter.cc
@@ -87,6 +87,7 @@
 
 void store_adapter::start() {
   store_.on_restored([this] {
+    callbacks_.on_restored();
     for (auto* each : {&configuration_, &targets_, &vms_, &promotions_}) each->list_again();
   });
   configuration_.start();
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -26,6 +26,7 @@
     std::function<void()> on_environment;               ///< A newer configuration is in force.
     std::function<void(const service_id&)> on_targets;  ///< The targets of the service changed.
     std::function<void()> on_vms;                       ///< The list of VMs changed.
+    std::function<void()> on_restored;                  ///< The store came back from an older copy.
     /// A promotion was claimed; the number is the fencing token of the claim.
     std::function<void(const platform::promotion_record&, std::uint64_t)> on_promotion;
   };
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -95,6 +95,10 @@
                                                              const failover_view& view, time_point now) {
   synchronous_replicas_ = view.synchronous_replicas;
   history_.expire(now);
+  // Commands to pause of an earlier process of this VM may still be under way.
+  if (is_synchronous() && history_.is_of_predecessor() && !std::exchange(has_predecessor_, true)) {
+    late_fence_until_ = now + options_.claims.late_command_time;
+  }
   if (directory.primary() != nullptr) history_.on_primary(directory.primary()->info.target);
   const auto reason = find_loss_reason(directory, view.is_list_trusted, now);
   if (step_ != step::idle) {
@@ -335,7 +339,7 @@
   members_ = missing;
   if (is_any_late) history_.on_resume_unanswered(now);
   if (missing.empty() && history_.can_fence(now)) return end_attempt(now);
-  next_resume_ = missing.empty() ? *history_.late_resume_until() : now + options_.resume_pause;
+  next_resume_ = missing.empty() ? history_.fence_time() : now + options_.resume_pause;
   return std::nullopt;
 }
 
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -159,6 +159,9 @@
   /// @param is_own whether it is a claim of this VM.
   void on_claim_seen(const promotion_claim& claim, std::uint64_t token, bool is_own, time_point now);
 
+  /// The store came back from an older copy.
+  void on_store_restored(time_point now) { history_.on_store_restored(now); }
+
   /// @return whether no failover is in progress.
   [[nodiscard]] bool is_idle() const noexcept { return step_ == step::idle; }
 
@@ -215,6 +218,7 @@
   std::map<target_id, survey_answer> fenced_;   ///< Answers of the targets that confirmed the running fence.
   std::optional<time_point> late_fence_until_;  ///< Until when a command to pause may take effect.
   time_point next_resume_{};                    ///< When targets that have not confirmed are told again.
+  bool has_predecessor_ = false;                ///< The newest claim was of an earlier process of this VM.
   promotion_claim proposed_;                    ///< The claim that is being written.
   target_id chosen_target_;
   std::uint64_t ordered_token_ = 0;
--- a/packages/sql/promotion_history.h
+++ b/packages/sql/promotion_history.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -42,11 +43,16 @@
   void on_order_accepted(const target_id& target, time_point now);
   /// The target is the primary, so its order has taken effect.
   void on_primary(const target_id& target) { unresolved_.erase(target); }
+  /// The store came back older: what claims of the lost history told may be under way, though this VM has not
+  /// read all of them.
+  void on_store_restored(time_point now) { unknown_until_ = now + times_.late_command_time; }
   /// Forgets orders that can't take effect any more.
   void expire(time_point now);
   /// A target did not answer a command to resume replication.
   void on_resume_unanswered(time_point now) { late_resume_until_ = now + times_.late_command_time; }
 
+  /// @return whether the newest known claim was written by an earlier process of this VM.
+  [[nodiscard]] bool is_of_predecessor() const noexcept { return is_own_ && !proposed_attempt_; }
   /// @return whether this VM holds the newest claim that it knows.
   [[nodiscard]] bool is_holder() const noexcept { return is_own_; }
   /// @return whether this VM holds a claim under which replicas may be paused.
@@ -63,14 +69,11 @@
   [[nodiscard]] bool has_unresolved() const noexcept { return !unresolved_.empty(); }
   /// @return whether an order of the target may still take effect.
   [[nodiscard]] bool is_unresolved(const target_id& target) const { return unresolved_.contains(target); }
-  /// @return until when a command to resume may end a fence that is set now, if one may.
-  [[nodiscard]] const std::optional<time_point>& late_resume_until() const noexcept {
-    return late_resume_until_;
-  }
-  /// @return whether a fence that is set now holds.
-  [[nodiscard]] bool can_fence(time_point now) const {
-    return !late_resume_until_ || now >= *late_resume_until_;
+  /// @return from when a fence that is set holds, because no command to resume can end it.
+  [[nodiscard]] time_point fence_time() const {
+    return std::max(late_resume_until_.value_or(time_point{}), unknown_until_);
   }
+  [[nodiscard]] bool can_fence(time_point now) const { return now >= fence_time(); }
 
  private:
   void note_orders(const promotion_claim& claim, bool is_complete, time_point now);
@@ -87,6 +90,7 @@
   std::map<target_id, time_point> unresolved_;     ///< Until when an order of each target may take effect.
   std::optional<time_point> earlier_until_;  ///< The same for orders of the newest target before its claim.
   std::optional<time_point> late_resume_until_;
+  time_point unknown_until_{};  ///< Until when what a lost history told may take effect.
 };
 
 /// @return whether a target can be promoted: it is listed, stays, and its data centre is in use.
--- a/packages/sql/promotion_world_fake.cc
+++ b/packages/sql/promotion_world_fake.cc
@@ -18,6 +18,7 @@
 constexpr duration round_time = milliseconds{350};
 constexpr duration order_timeout = milliseconds{1'200};
 constexpr duration write_timeout = seconds{1};
+constexpr duration longest_delay = seconds{12};  // Of a message.
 constexpr char survey_command = 'S';
 constexpr char pause_command = 'P';
 constexpr char resume_command = 'R';
@@ -43,6 +44,7 @@
   std::uint64_t seen_change = 0;  ///< Number of the newest change of the store that it has seen.
   std::uint64_t known_token = 0;  ///< Of the claim in the store as it has seen it; 0 if there is none.
   std::uint64_t own_token = 0;    ///< Of its newest claim; 0 after one that failed.
+  std::uint64_t known_epoch = 0;  ///< Of the store; 0 until the first answer.
   std::optional<command_round> round;
   std::uint64_t rounds = 0;
   bool is_cut_off = false;  ///< It cannot reach the primary.
@@ -232,7 +234,7 @@
     std::optional<std::uint64_t> token;
     if (stored_.token == expected) {
       token = next_token();
-      stored_ = {*token, number, claim};
+      stored_ = {*token, number, claim, store_epoch_};
       note(fmt::format("vm {} claims {} {} of {}", number, claim.attempt, name_of(claim.phase),
                        claim.target.str()));
       publish();
@@ -260,6 +262,8 @@
   if (change < each.seen_change) return;
   each.seen_change = change;
   each.known_token = claim.token;
+  if (each.known_epoch != 0 && claim.epoch > each.known_epoch) each.failover.on_store_restored(now_);
+  each.known_epoch = claim.epoch;
   if (claim.token == 0) return;
   each.failover.on_claim_seen(claim.claim, claim.token, claim.vm == each.number, now_);
   if (each.failover.is_idle()) each.round.reset();
@@ -289,9 +293,10 @@
 
 void promotion_world::restore_store() {
   note("the store comes back older");
+  restored_ = now_;
   stored_ = copy_;
   store_version_ = copy_version_;
-  ++store_epoch_;
+  stored_.epoch = ++store_epoch_;
   if (stored_.token > 0) stored_.token = next_token();
   publish();
 }
@@ -303,6 +308,7 @@
   auto& each = *vms_[number];
   switch (random_() % 8) {
     case 0:
+      if (!faults_.has_starts_after_restore && now_ - restored_ < longest_delay) return;
       note(fmt::format("vm {} restarts", number));
       return start_vm(number);
     case 1:
--- a/packages/sql/promotion_world_fake.h
+++ b/packages/sql/promotion_world_fake.h
@@ -24,6 +24,8 @@
   int lost_answer = 5;  ///< The message takes effect, and its answer is lost.
   int late = 5;         ///< It is carried out 2 to 12 s later, without an answer.
   int busy = 10;        ///< A target has no free slot.
+  /// A VM may start while a message is under way of which only the lost history of the store told.
+  bool has_starts_after_restore = false;
 };
 
 class promotion_world {
@@ -60,6 +62,7 @@
     std::uint64_t token = 0;
     std::size_t vm = 0;
     promotion_claim claim;
+    std::uint64_t epoch = 1;
   };
   struct vm;
 
@@ -92,6 +95,9 @@
   [[nodiscard]] bool accept(const order_promotion& action);
   void promote(const target_id& target);
   void commit();
+  /// A replica receives the log of the leader of a term up to a size.
+  void receive(const target_id& target, std::uint64_t term, std::size_t size);
+  /// Acknowledges the commits that a replica has.
   void replicate();
   void cause_fault();
   void replace_primary();
@@ -112,6 +118,7 @@
   std::uint64_t store_changes_ = 0;
   std::uint64_t copy_version_ = 0;
   std::uint64_t store_epoch_ = 1;
+  time_point restored_{};  ///< When the store last came back older.
   std::uint64_t newest_token_ = 0;
   std::uint32_t commits_ = 0;
   std::vector<std::uint32_t> acknowledged_;
--- a/packages/sql/synchronous_failover_test.cc
+++ b/packages/sql/synchronous_failover_test.cc
@@ -331,6 +331,13 @@
     REQUIRE(as<survey_targets>(vm.tick()) != nullptr);
     vm.grant(vm.survey({status_of(second, 5), status_of(third, 7)}), promotion_phase::fencing);
   }
+  SECTION("of a claim that the store lost with its newest changes") {
+    vm.failover.on_store_restored(vm.now);
+    REQUIRE(as<survey_targets>(vm.tick()) != nullptr);
+    CHECK_FALSE(vm.survey({status_of(second, 5), status_of(third, 7)}));
+    vm.now += late_command_time;
+    vm.begin();
+  }
   SECTION("unless the other VM has seen them confirmed") {
     vm.see({third, promotion_phase::resuming, 3});
     vm.see({third, promotion_phase::settled, 4});
