A timer never runs before its time

Cause: the reactor cuts the current time to microseconds before it adds the delay of a timer, so a timer could run up to 1 us early. run_for then found that its end had not come and waited on without any timer: path tests slept until the servers closed their connections after 60 s. Change: the delay of a timer is one resolution of the reactor longer.

--- a/packages/net/event_loop.cc
+++ b/packages/net/event_loop.cc
@@ -24,10 +24,13 @@
 using monotonic_timer_heap = ACE_Timer_Heap_T<ACE_Event_Handler*, ACE_Event_Handler_Handle_Timeout_Upcall,
                                               ACE_Null_Mutex, ACE_Monotonic_Time_Policy>;
 
+// The reactor cuts the current time to its resolution before it adds the delay of a timer.
+constexpr std::chrono::microseconds reactor_resolution{1};
+
 ACE_Time_Value to_ace(duration span) {
-  const auto positive = std::max(span, duration::zero());
+  if (span <= duration::zero()) return ACE_Time_Value::zero;
   // Rounded up, so that a timer never runs before its time.
-  return ACE_Time_Value{std::chrono::ceil<std::chrono::microseconds>(positive)};
+  return ACE_Time_Value{std::chrono::ceil<std::chrono::microseconds>(span) + reactor_resolution};
 }
 
 // A descriptor's number must be below the size of the reactor's table, also when other
--- a/packages/net/event_loop_test.cc
+++ b/packages/net/event_loop_test.cc
@@ -25,6 +25,22 @@
   CHECK(order == std::vector{0, 1, 2});
 }
 
+// Guards against a timer that runs up to a microsecond early: run_for then waits on without any timer, and a
+// test sleeps until its connections are closed.
+TEST_CASE("a timer never runs before its time") {
+  event_loop loop;
+  int early = 0;
+  for (int i = 0; i < 2'000; ++i) {
+    const auto due = loop.now() + 50us;
+    loop.schedule(50us, [&] {
+      if (loop.now() < due) ++early;
+      loop.stop();
+    });
+    loop.run();
+  }
+  CHECK(early == 0);
+}
+
 // Guards against a cancelled timer that still runs, also when its turn has come.
 TEST_CASE("a timer can be cancelled by a timer of the same time") {
   event_loop loop;
