Writes go on while a promotion order is under way or has no answer

Cause: while an order of unknown outcome may take effect, all replicas stayed paused. Its target may receive: what it confirms is in the log that will lead. Change: once the order is sent, its target alone is told to resume. Commands to resume are kept by target with the time in which they may come late, in the VM and in the claims; a fence relies on no target but that one, in place of none.

--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -154,11 +154,13 @@
                                        {"answered", static_cast<std::uint64_t>(answered)}});
     return;
   }
-  auto missing = round.pending;
+  std::vector<target_id> late;
   for (const auto& each : round.answers) {
-    if (!each.received) missing.push_back(each.target);
+    if (!each.received) late.push_back(each.target);
   }
-  perform(service, controller.on_resume(missing, missing.size() > round.pending.size(), now));
+  auto missing = round.pending;
+  missing.insert(missing.end(), late.begin(), late.end());
+  perform(service, controller.on_resume(missing, late, now));
 }
 
 void failover_adapter::ask(const service_id& service, command_round& round, const target_id& target) {
--- a/packages/entry/synchronous_promotion_path_test.cc
+++ b/packages/entry/synchronous_promotion_path_test.cc
@@ -117,6 +117,28 @@
   writers.run_until("write at the new primary", [&] { return writers.acknowledged() > before; });
 }
 
+// Guards against writes that wait for as long as the platform leaves promotion orders unanswered.
+TEST_CASE("Writes go on while the platform answers no promotion order") {
+  const auto deployment = start_synchronous("unanswered_promotions");
+  steady_writers writers{*deployment};
+  writers.run_for(500ms);
+  deployment->platform->faults().late_promotions = 1'000;
+  deployment->platform->faults().lateness = 1h;
+  deployment->announce("i-a", "draining");
+  writers.run_until("order", [&] {
+    return deployment->count_logged(0, "\"promotion_ordered\"") +
+               deployment->count_logged(1, "\"promotion_ordered\"") +
+               deployment->count_logged(2, "\"promotion_ordered\"") >
+           0;
+  });
+
+  const auto before = writers.acknowledged();
+  writers.run_until("writes at the old primary", [&] { return writers.acknowledged() > before + 20; });
+
+  CHECK(deployment->database->primary() == "i-a");
+  CHECK(writers.lost().empty());
+}
+
 // Guards against a VM that gives up its own attempt and ends the pause of the replicas on which another VM's
 // order relies.
 TEST_CASE("A VM that gives up a promotion does not let commits pass the order of another VM") {
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -97,7 +97,34 @@
 constexpr std::uint64_t max_incarnation = std::uint64_t{1} << 42U;
 // Claims are made at most a few times a second.
 constexpr std::uint64_t max_attempt = std::uint64_t{1} << 48U;
-constexpr std::size_t max_unresolved_orders = 64;
+constexpr std::size_t max_claim_targets = 64;
+
+constexpr std::uint64_t max_remaining_ms = 600'000;
+
+json encode_effects(const std::vector<sql::pending_effect>& effects) {
+  json out = json::array();
+  for (const auto& each : effects) {
+    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(each.remaining).count();
+    out.push_back({{"target", each.target.str()}, {"remainingMs", static_cast<std::uint64_t>(remaining)}});
+  }
+  return out;
+}
+
+/// @return the effects in the field of a claim; none if it is missing.
+result<std::vector<sql::pending_effect>> decode_effects(field_reader& claim, const char* field) {
+  std::vector<sql::pending_effect> effects;
+  for (const json& each : claim.array_or_empty(field)) {
+    field_reader fields{each, fmt::format("promotion.{}[]", field)};
+    const target_id target{fields.text("target")};
+    const auto remaining_ms = fields.number("remainingMs");
+    if (fields.has_failed()) return fields.failure();
+    if (remaining_ms > max_remaining_ms || effects.size() == max_claim_targets) {
+      return make_error(error_kind::invalid_document, fmt::format("promotion.{} is out of range", field));
+    }
+    effects.push_back({target, std::chrono::milliseconds{static_cast<std::int64_t>(remaining_ms)}});
+  }
+  return effects;
+}
 
 /// @return whether the text can be one field of a line to a target.
 bool is_field(std::string_view text) {
@@ -275,13 +302,12 @@
 }
 
 json encode_promotion(const promotion_record& record) {
-  json unresolved = json::array();
-  for (const auto& each : record.claim.unresolved) unresolved.push_back(each.str());
   return {{"target", record.claim.target.str()},
           {"claimedBy", record.claimed_by.str()},
           {"phase", sql::name_of(record.claim.phase)},
           {"attempt", record.claim.attempt},
-          {"unresolved", unresolved}};
+          {"unresolved", encode_effects(record.claim.unresolved)},
+          {"resumed", encode_effects(record.claim.resumed)}};
 }
 
 result<promotion_record> decode_promotion(const stored_object& object) {
@@ -293,17 +319,18 @@
   // Claims of older versions have none of the fields below, and were made to order the target.
   const auto phase = sql::promotion_phase_from(fields.text_or("phase", "ordering"));
   out.claim.attempt = fields.number_or("attempt", 0);
-  for (const auto& each : fields.array_or_empty("unresolved")) {
-    if (!each.is_string())
-      return make_error(error_kind::invalid_document, "promotion.unresolved[] is no text");
-    out.claim.unresolved.emplace_back(each.get<std::string>());
-  }
+  auto unresolved = decode_effects(fields, "unresolved");
+  if (!unresolved) return tl::unexpected<error>(unresolved.error());
+  auto resumed = decode_effects(fields, "resumed");
+  if (!resumed) return tl::unexpected<error>(resumed.error());
   if (fields.has_failed()) return fields.failure();
   if (!phase) return make_error(error_kind::invalid_document, "promotion.phase is unknown");
-  if (out.claim.attempt > max_attempt || out.claim.unresolved.size() > max_unresolved_orders) {
-    return make_error(error_kind::invalid_document, "promotion.attempt or .unresolved is out of range");
+  if (out.claim.attempt > max_attempt) {
+    return make_error(error_kind::invalid_document, "promotion.attempt is out of range");
   }
   out.claim.phase = *phase;
+  out.claim.unresolved = std::move(*unresolved);
+  out.claim.resumed = std::move(*resumed);
   return out;
 }
 
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -87,7 +87,7 @@
 
 failover_action failover_controller::claim(step next, promotion_phase phase, time_point now) {
   enter(next, now);
-  proposed_ = history_.propose(chosen_target_, phase);
+  proposed_ = history_.propose(chosen_target_, phase, now);
   return claim_promotion{proposed_};
 }
 
@@ -126,11 +126,14 @@
       if (is_synchronous() && is_primary && history_.is_holder()) return end_attempt(now);
       // An order for a target that has been evacuated since is not waited for.
       const bool is_over = now - step_started_ >= options_.order_timeout;
-      if (is_over || is_evacuated(directory, chosen_target_)) enter(step::idle, now);
-      return std::nullopt;
+      if (is_over || is_evacuated(directory, chosen_target_)) {
+        enter(step::idle, now);
+        return std::nullopt;
+      }
+      return is_primary ? std::nullopt : resume_chosen(now);
     }
     case step::ordering:
-      return is_late ? end_order(order_outcome::unknown, now) : std::nullopt;
+      return is_late ? end_order(order_outcome::unknown, now) : resume_chosen(now);
     case step::fencing:
       // The answers decide.
       return std::nullopt;
@@ -138,7 +141,10 @@
       if (now < next_resume_) return std::nullopt;
       // A primary that is lost meanwhile is more urgent than a replica that cannot be told.
       const bool is_lost = reason && *reason != loss_reason::unfinished;
-      if (is_lost && history_.can_fence(now)) {
+      const bool is_any_late = std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+        return history_.may_be_resumed(each, now);
+      });
+      if (is_lost && !is_any_late && history_.can_fence(now)) {
         enter(step::idle, now);
         return std::nullopt;
       }
@@ -176,15 +182,20 @@
 }
 
 const survey_answer* failover_controller::find_best(const std::vector<survey_answer>& answers,
-                                                    const target_directory& directory) const {
+                                                    const target_directory& directory, time_point now) const {
+  // The target that an earlier order may still promote goes before its equals, also if it is leaving: the
+  // other one would lack what it commits in between. So does one that may receive again meanwhile.
+  const auto preference = [&](const survey_answer& answer) {
+    if (!is_synchronous()) return 0;
+    if (history_.is_unresolved(answer.target)) return 2;
+    return history_.may_be_resumed(answer.target, now) ? 1 : 0;
+  };
   const survey_answer* best = nullptr;
   for (const auto& each : answers) {
-    // The target that an earlier order may still promote goes before its equals, also if it is leaving: the
-    // other one would lack what it commits in between.
-    const bool is_preferred = is_synchronous() && history_.is_unresolved(each.target);
-    if (!each.received || !(is_preferred || is_promotable(directory, each.target))) continue;
-    if (best == nullptr || *each.received > *best->received ||
-        (is_preferred && *each.received == *best->received)) {
+    const bool is_unresolved = is_synchronous() && history_.is_unresolved(each.target);
+    if (!each.received || !(is_unresolved || is_promotable(directory, each.target))) continue;
+    if (best == nullptr ||
+        std::pair{*each.received, preference(each)} > std::pair{*best->received, preference(*best)}) {
       best = &each;
     }
   }
@@ -208,15 +219,21 @@
       return abandon(now);
     }
   }
-  const auto* best = find_best(answers, directory);
+  const auto* best = find_best(answers, directory, now);
   if (best == nullptr || answered < required_answers_) return abandon(now);
   chosen_target_ = best->target;
   if (!is_synchronous()) return claim(step::claiming_order, promotion_phase::ordering, now);
   // A command to resume that is still under way could end the fence.
-  if (!history_.can_fence(now)) return abandon(now);
+  if (!history_.can_fence(now) || !holds_fence_for(best->target, directory, now)) return abandon(now);
   return claim(step::claiming_fence, promotion_phase::fencing, now);
 }
 
+bool failover_controller::holds_fence_for(const target_id& chosen, const target_directory& directory,
+                                          time_point now) const {
+  const auto* leader = directory.primary();
+  return !history_.may_another_be_resumed(chosen, leader == nullptr ? target_id{} : leader->info.target, now);
+}
+
 failover_action failover_controller::fence(std::vector<target_id> targets, time_point now) {
   if (step_ != step::fencing) enter(step::fencing, now);
   return fence_targets{std::move(targets), fence_term_};
@@ -261,11 +278,12 @@
                                                                   time_point now) {
   std::vector<survey_answer> answers;
   for (const auto& [id, answer] : fenced_) answers.push_back(answer);
-  const auto* best = find_best(answers, directory);
+  const auto* best = find_best(answers, directory, now);
   const bool is_newest =
       best != nullptr && std::all_of(answers.begin(), answers.end(),
                                      [&](const auto& each) { return *each.received <= *best->received; });
   if (!is_newest) return abandon(now);
+  if (!holds_fence_for(best->target, directory, now)) return abandon(now);
   chosen_target_ = best->target;
   return claim(step::claiming_order, promotion_phase::ordering, now);
 }
@@ -285,6 +303,7 @@
       if (!token) return abandon(now);
       enter(step::ordering, now);
       ordered_token_ = *token;
+      is_chosen_resumed_ = false;
       return order_promotion{chosen_target_, *token};
     case step::claiming_resume:
       if (!token) return abandon(now);
@@ -330,14 +349,32 @@
 
 failover_action failover_controller::resume(std::vector<target_id> targets, time_point now) {
   next_resume_ = now + step_timeout;
+  for (const auto& each : targets) history_.on_resume_sent(each, now);
+  resumed_ = targets;
   return resume_targets{std::move(targets)};
 }
 
+std::optional<failover_action> failover_controller::resume_chosen(time_point now) {
+  const bool is_allowed = history_.is_holder() && history_.is_only_unresolved(chosen_target_);
+  if (!is_synchronous() || is_chosen_resumed_ || !is_allowed) return std::nullopt;
+  is_chosen_resumed_ = true;
+  return resume({chosen_target_}, now);
+}
+
 std::optional<failover_action> failover_controller::on_resume(const std::vector<target_id>& missing,
-                                                              bool is_any_late, time_point now) {
-  if (step_ != step::resuming) return std::nullopt;
+                                                              const std::vector<target_id>& late,
+                                                              time_point now) {
+  const bool is_of_order = step_ == step::ordering || step_ == step::settling;
+  if (!is_of_order && step_ != step::resuming) return std::nullopt;
+  for (const auto& each : resumed_) {
+    if (std::find(late.begin(), late.end(), each) == late.end()) history_.on_resume_confirmed(each);
+  }
+  if (is_of_order) {
+    // The target of the order is told again only if it never got the command.
+    is_chosen_resumed_ = missing.empty() || !late.empty();
+    return std::nullopt;
+  }
   members_ = missing;
-  if (is_any_late) history_.on_resume_unanswered(now);
   if (missing.empty() && history_.can_fence(now)) return end_attempt(now);
   next_resume_ = missing.empty() ? history_.fence_time() : now + options_.resume_pause;
   return std::nullopt;
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -29,7 +29,10 @@
 /// 2. Claim the right to fence, then pause replication on the other targets (the fence). Enough of them
 ///    must confirm it that at least one has every acknowledged commit: n - s + 1 of n replicas, if s
 ///    replicas confirm each commit.
-/// 3. Claim the order of the target with the newest log point, and order it.
+/// 3. Claim the order of the target with the newest log point, and order it. Then let this target alone
+/// receive
+///    again: a commit that it confirms is in the log that will lead, so writes go on until the promotion
+///    takes effect, also if the platform does not answer for a long time.
 /// 4. Once it is the primary, claim that nothing is under way any more.
 /// The fence ends by a promotion, or by a claim to resume, which is made only while no order may still take
 /// effect. An attempt that another VM left half-way is finished: by an order of the same target, or by
@@ -140,9 +143,9 @@
                                                         const target_directory& directory, time_point now);
   /// The targets that were to resume replication answered, or did not in time.
   /// @param missing targets that have not confirmed it.
-  /// @param is_any_late whether one of them may carry out the command later.
+  /// @param late those among them that may carry out the command later.
   [[nodiscard]] std::optional<failover_action> on_resume(const std::vector<target_id>& missing,
-                                                         bool is_any_late, time_point now);
+                                                         const std::vector<target_id>& late, time_point now);
   /// The attempt to write a claim ended.
   /// @param attempt of the claim.
   /// @param token version of the claim in the store, or nothing if the write failed or its outcome is
@@ -193,11 +196,16 @@
   [[nodiscard]] failover_action claim(step next, promotion_phase phase, time_point now);
   [[nodiscard]] failover_action fence(std::vector<target_id> targets, time_point now);
   [[nodiscard]] failover_action resume(std::vector<target_id> targets, time_point now);
+  /// Lets the target of the running order receive again, while the others stay paused.
+  [[nodiscard]] std::optional<failover_action> resume_chosen(time_point now);
+  /// @return whether a fence, once set, lasts until the chosen target leads.
+  [[nodiscard]] bool holds_fence_for(const target_id& chosen, const target_directory& directory,
+                                     time_point now) const;
   [[nodiscard]] std::optional<failover_action> choose_fenced(const target_directory& directory,
                                                              time_point now);
   /// @return the answer of the promotable target with the newest log point, or null.
   [[nodiscard]] const survey_answer* find_best(const std::vector<survey_answer>& answers,
-                                               const target_directory& directory) const;
+                                               const target_directory& directory, time_point now) const;
   void learn_terms(const survey_answer& answer);
   void rest(time_point now);
   /// Abandons the attempt. Resumes replication if this VM may have paused it and no order may take effect.
@@ -212,6 +220,7 @@
   std::optional<time_point> lost_since_;
   time_point next_survey_{};                    ///< Earliest time of the next attempt.
   std::vector<target_id> members_;              ///< Targets of the attempt besides the primary.
+  std::vector<target_id> resumed_;              ///< Targets that were last told to resume.
   std::size_t required_answers_ = 1;            ///< Answers that the attempt needs.
   term_id newest_term_;                         ///< Newest term or fence that any target has reported.
   term_id fence_term_;                          ///< Of the running fence.
@@ -221,6 +230,7 @@
   bool has_predecessor_ = false;                ///< The newest claim was of an earlier process of this VM.
   promotion_claim proposed_;                    ///< The claim that is being written.
   target_id chosen_target_;
+  bool is_chosen_resumed_ = false;  ///< The target of the running order was told to receive again.
   std::uint64_t ordered_token_ = 0;
   std::uint32_t failed_orders_ = 0;  ///< In a row.
 };
--- a/packages/sql/promotion_claim.h
+++ b/packages/sql/promotion_claim.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/ids.h"
 
 /// @file
@@ -30,6 +31,14 @@
 /// @return the phase with that name, or nothing if no phase has it.
 [[nodiscard]] std::optional<promotion_phase> promotion_phase_from(std::string_view name) noexcept;
 
+/// What a target may still be subject to because of a message whose answer is missing.
+struct pending_effect {
+  target_id target;
+  duration remaining{};  ///< For how long after the claim.
+
+  friend bool operator==(const pending_effect&, const pending_effect&) = default;
+};
+
 /// One claim.
 struct promotion_claim {
   target_id target;  ///< The target to promote, as far as it is known.
@@ -37,7 +46,9 @@
   /// Rises with each claim. The store gives a new version only to a write that changes the record.
   std::uint64_t attempt = 0;
   /// Targets of orders with earlier claims that may still take effect.
-  std::vector<target_id> unresolved = {};
+  std::vector<pending_effect> unresolved = {};
+  /// Targets that an earlier command to resume replication may still reach.
+  std::vector<pending_effect> resumed = {};
 
   friend bool operator==(const promotion_claim&, const promotion_claim&) = default;
 };
--- a/packages/sql/promotion_history.h
+++ b/packages/sql/promotion_history.h
@@ -34,7 +34,7 @@
   /// @param is_own whether it is a claim of this VM, perhaps of an earlier process.
   void on_claim(const promotion_claim& claim, std::uint64_t token, bool is_own, time_point now);
   /// @return the claim to write next.
-  [[nodiscard]] promotion_claim propose(const target_id& target, promotion_phase phase);
+  [[nodiscard]] promotion_claim propose(const target_id& target, promotion_phase phase, time_point now);
 
   /// The order with the newest claim has no effect. An earlier order of the same target may still have one.
   void on_order_refused(const target_id& target);
@@ -48,8 +48,10 @@
   void on_store_restored(time_point now) { unknown_until_ = now + times_.late_command_time; }
   /// Forgets orders that can't take effect any more.
   void expire(time_point now);
-  /// A target did not answer a command to resume replication.
-  void on_resume_unanswered(time_point now) { late_resume_until_ = now + times_.late_command_time; }
+  /// A target is told to resume replication.
+  void on_resume_sent(const target_id& target, time_point now);
+  /// The target has confirmed the newest command to resume, or never got it. Earlier ones may still reach it.
+  void on_resume_confirmed(const target_id& target);
 
   /// @return whether the newest known claim was written by an earlier process of this VM.
   [[nodiscard]] bool is_of_predecessor() const noexcept { return is_own_ && !proposed_attempt_; }
@@ -67,16 +69,26 @@
                                    time_point now) const;
   /// @return whether an order may still take effect.
   [[nodiscard]] bool has_unresolved() const noexcept { return !unresolved_.empty(); }
+  /// @return whether no order of another target may still take effect.
+  [[nodiscard]] bool is_only_unresolved(const target_id& target) const;
+  /// @return whether a command to resume replication may end the pause of the target.
+  [[nodiscard]] bool may_be_resumed(const target_id& target, time_point now) const;
+  /// @return whether such a command may reach a target other than these two. The chosen one may receive: what
+  ///   it confirms, it has. To the primary the command means nothing.
+  [[nodiscard]] bool may_another_be_resumed(const target_id& chosen, const target_id& primary,
+                                            time_point now) const;
   /// @return whether an order of the target may still take effect.
   [[nodiscard]] bool is_unresolved(const target_id& target) const { return unresolved_.contains(target); }
-  /// @return from when a fence that is set holds, because no command to resume can end it.
+  /// @return from when a fence can be set, because commands to resume can reach no targets but the known
+  /// ones.
   [[nodiscard]] time_point fence_time() const {
-    return std::max(late_resume_until_.value_or(time_point{}), unknown_until_);
+    return std::max(unknown_resume_until_.value_or(time_point{}), unknown_until_);
   }
   [[nodiscard]] bool can_fence(time_point now) const { return now >= fence_time(); }
 
  private:
   void note_orders(const promotion_claim& claim, bool is_complete, time_point now);
+  void note_resumes(const promotion_claim& claim, bool is_older, bool is_of_this_process, time_point now);
 
   claim_times times_;
   promotion_claim newest_{{}, promotion_phase::settled};
@@ -89,8 +101,12 @@
   std::optional<std::uint64_t> proposed_attempt_;  ///< Of the newest claim that this process wrote.
   std::map<target_id, time_point> unresolved_;     ///< Until when an order of each target may take effect.
   std::optional<time_point> earlier_until_;  ///< The same for orders of the newest target before its claim.
-  std::optional<time_point> late_resume_until_;
-  time_point unknown_until_{};  ///< Until when what a lost history told may take effect.
+  /// Until when commands to resume replication may reach each target.
+  std::map<target_id, time_point> resumed_until_;
+  /// The same for each target before the newest command to it.
+  std::map<target_id, time_point> resumed_before_;
+  std::optional<time_point> unknown_resume_until_;  ///< The same for commands of other VMs, to any target.
+  time_point unknown_until_{};                      ///< Until when what a lost history told may take effect.
 };
 
 /// @return whether a target can be promoted: it is listed, stays, and its data centre is in use.
--- a/packages/sql/promotion_world_fake.cc
+++ b/packages/sql/promotion_world_fake.cc
@@ -221,7 +221,7 @@
   } else {
     auto missing = round.pending;
     missing.insert(missing.end(), round.running.begin(), round.running.end());
-    perform(each, each.failover.on_resume(missing, !round.running.empty(), now_));
+    perform(each, each.failover.on_resume(missing, round.running, now_));
   }
 }
 
@@ -235,8 +235,10 @@
     if (stored_.token == expected) {
       token = next_token();
       stored_ = {*token, number, claim, store_epoch_};
-      note(fmt::format("vm {} claims {} {} of {}", number, claim.attempt, name_of(claim.phase),
-                       claim.target.str()));
+      std::string resumed;
+      for (const auto& effect : claim.resumed) resumed += " " + effect.target.str();
+      note(fmt::format("vm {} claims {} {} of {}, resumed:{}", number, claim.attempt, name_of(claim.phase),
+                       claim.target.str(), resumed));
       publish();
     }
     return [this, token, attempt = claim.attempt](vm& self) {
