A VM that has lost the store stops telling replicas to resume

What callers saw: nothing yet; read while the states were gone through. With syncReplicas above 0 an acknowledged commit could be lost: a VM that is cut off from the store goes on telling a replica that does not answer to resume, once a second; another VM takes over, waits 15 s from the claim that it has read, fences and promotes, and the newest of those commands comes after that. Cause: other VMs count the 15 s in which a command may come late from the claim, but commands were sent for any time after it. Change: a command to resume follows its claim within 2 s. To tell a replica again later, the VM claims again; if another VM has claimed meanwhile, it gets no claim and tells nobody.

--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -148,6 +148,8 @@
         enter(step::idle, now);
         return std::nullopt;
       }
+      // Other VMs count from the claim how long its commands may take effect.
+      if (!may_command(now)) return claim(step::claiming_resume, promotion_phase::resuming, now);
       return resume(members_, now);
     }
     default:
@@ -292,7 +294,10 @@
                                                              std::optional<std::uint64_t> token,
                                                              time_point now) {
   if (attempt != proposed_.attempt) return std::nullopt;
-  if (token) history_.on_claim(proposed_, *token, true, now);
+  if (token) {
+    history_.on_claim(proposed_, *token, true, now);
+    granted_ = now;
+  }
   switch (step_) {
     case step::claiming_fence:
       if (!token) return abandon(now);
@@ -355,7 +360,8 @@
 }
 
 std::optional<failover_action> failover_controller::resume_chosen(time_point now) {
-  const bool is_allowed = history_.is_holder() && history_.is_only_unresolved(chosen_target_);
+  const bool is_allowed =
+      history_.is_holder() && may_command(now) && history_.is_only_unresolved(chosen_target_);
   if (!is_synchronous() || is_chosen_resumed_ || !is_allowed) return std::nullopt;
   is_chosen_resumed_ = true;
   return resume({chosen_target_}, now);
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -118,6 +118,9 @@
   duration order_timeout = std::chrono::milliseconds{1'500};
   /// After this many orders in a row that were not accepted, the other VMs go first.
   std::uint32_t orders_in_turn = 3;
+  /// A command to resume replication follows its claim within this time. Later ones need a new claim, which a
+  /// VM does not get if another one has taken over.
+  duration command_window = std::chrono::seconds{2};
   /// A fence that is not complete after this time is given up, because a leaving primary serves meanwhile.
   duration fence_timeout = std::chrono::seconds{2};
   claim_times claims = {};
@@ -196,6 +199,10 @@
   [[nodiscard]] failover_action claim(step next, promotion_phase phase, time_point now);
   [[nodiscard]] failover_action fence(std::vector<target_id> targets, time_point now);
   [[nodiscard]] failover_action resume(std::vector<target_id> targets, time_point now);
+  /// @return whether replicas may be told to resume under the newest claim of this VM.
+  [[nodiscard]] bool may_command(time_point now) const noexcept {
+    return now - granted_ < options_.command_window;
+  }
   /// Lets the target of the running order receive again, while the others stay paused.
   [[nodiscard]] std::optional<failover_action> resume_chosen(time_point now);
   /// @return whether a fence, once set, lasts until the chosen target leads.
@@ -229,6 +236,7 @@
   time_point next_resume_{};                    ///< When targets that have not confirmed are told again.
   bool has_predecessor_ = false;                ///< The newest claim was of an earlier process of this VM.
   promotion_claim proposed_;                    ///< The claim that is being written.
+  time_point granted_{};                        ///< When the newest claim of this VM was written.
   target_id chosen_target_;
   bool is_chosen_resumed_ = false;  ///< The target of the running order was told to receive again.
   std::uint64_t ordered_token_ = 0;
--- a/packages/sql/promotion_world_fake.cc
+++ b/packages/sql/promotion_world_fake.cc
@@ -49,6 +49,7 @@
   std::uint64_t rounds = 0;
   bool is_cut_off = false;  ///< It cannot reach the primary.
   time_point frozen_until{};
+  time_point store_cut_until{};  ///< Until when it does not reach the store.
 };
 
 promotion_world::promotion_world(std::uint64_t seed, const promotion_faults& faults)
@@ -230,6 +231,7 @@
   const auto attempt = claim.attempt;
   after(write_timeout, each.number,
         [this, attempt](vm& self) { perform(self, self.failover.on_claim(attempt, std::nullopt, now_)); });
+  if (now_ < each.store_cut_until) return;
   exchange(each.number, [this, number = each.number, claim, expected]() -> std::function<void(vm&)> {
     std::optional<std::uint64_t> token;
     if (stored_.token == expected) {
@@ -255,7 +257,8 @@
 void promotion_world::publish() {
   ++store_changes_;
   for (std::size_t i = 0; i < vm_count; ++i) {
-    after(between(1, chance(10) ? 3'000 : 30), i,
+    const auto cut = std::max(vms_[i]->store_cut_until - now_, duration::zero());
+    after(cut + between(1, chance(10) ? 3'000 : 30), i,
           [this, claim = stored_, change = store_changes_](vm& self) { see_claim(self, claim, change); });
   }
 }
@@ -308,7 +311,7 @@
   if (is_calm_) return;
   const auto number = random_() % vm_count;
   auto& each = *vms_[number];
-  switch (random_() % 8) {
+  switch (random_() % 9) {
     case 0:
       if (!faults_.has_starts_after_restore && now_ - restored_ < longest_delay) return;
       note(fmt::format("vm {} restarts", number));
@@ -326,6 +329,9 @@
     case 4:
       if (random_() % 4 == 0) restore_store();
       return;
+    case 5:
+      each.store_cut_until = now_ + between(1'000, 30'000);
+      return note(fmt::format("vm {} does not reach the store", number));
     default:
       return replace_primary();
   }
--- a/packages/sql/promotion_world_fake.h
+++ b/packages/sql/promotion_world_fake.h
@@ -14,8 +14,8 @@
 /// @file
 /// A small world for failover controllers: three VMs, a service with a primary and two replicas of which one
 /// has to confirm each commit, the platform's store and its promotions. Messages are delayed, lost and
-/// carried out late; VMs crash and freeze; the store comes back older. The world keeps count of acknowledged
-/// commits.
+/// carried out late; VMs crash, freeze and lose the store, which comes back older. The world keeps count of
+/// acknowledged commits.
 
 namespace bulrushlift::sql {
 
--- a/packages/sql/synchronous_failover_test.cc
+++ b/packages/sql/synchronous_failover_test.cc
@@ -424,6 +424,27 @@
   }
 }
 
+// Guards against a VM that has lost the store and goes on telling replicas to resume, though another VM has
+// taken over and set a fence.
+TEST_CASE("A replica that cannot be told to resume for some time is told again only after a new claim") {
+  monitor vm;
+  CHECK(vm.is_resumed(vm.end_order(vm.order_third(), order_outcome::refused)));
+  CHECK_FALSE(vm.failover.on_resume({third}, {third}, vm.now));
+  REQUIRE(as<resume_targets>(vm.tick(seconds{1})) != nullptr);
+  CHECK_FALSE(vm.failover.on_resume({third}, {third}, vm.now));
+  const auto again = vm.tick(seconds{1});
+
+  SECTION("which it gets") {
+    const auto resumed = vm.grant(again, promotion_phase::resuming);
+    REQUIRE(as<resume_targets>(resumed) != nullptr);
+    CHECK(as<resume_targets>(resumed)->targets == std::vector<target_id>{third});
+  }
+  SECTION("or not, and then it tells nobody") {
+    CHECK_FALSE(vm.refuse(again));
+    CHECK(vm.failover.is_idle());
+  }
+}
+
 // Guards against a target that stays paused under the new primary because the command reached it late.
 TEST_CASE("A pause without an answer is ended once it can't be carried out any more") {
   monitor vm;
