A target that has not followed the newest term is promoted only after a wait

Cause: a survey chose the newest log point among the answers, also of a former primary that had come back alone and had not heard of the promotion in between. Its row says so: term 1, while reads had seen positions of term 2. Change: targets that know a newer term go first; if only others answer, the VM waits until the primary has been lost for 10 s. A log line for each answer of a survey shows on what the choice rests.

--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -145,6 +145,7 @@
     return;
   }
   if (round.command.kind == sql::command_kind::query_status) {
+    log_answers(service, round);
     perform(service, controller.on_survey(round.answers, directory, now));
     if (!controller.is_idle()) return;
     const auto answered = std::count_if(round.answers.begin(), round.answers.end(),
@@ -163,6 +164,18 @@
   perform(service, controller.on_resume(missing, late, now));
 }
 
+void failover_adapter::log_answers(const service_id& service, const command_round& round) const {
+  for (const auto& each : round.answers) {
+    if (!each.received) continue;
+    log_info("target_surveyed", {{"service", service.str()},
+                                 {"target", each.target.str()},
+                                 {"is_primary", each.is_primary},
+                                 {"term", each.term.value()},
+                                 {"received_term", each.received->term.value()},
+                                 {"received", each.received->position.value()}});
+  }
+}
+
 void failover_adapter::ask(const service_id& service, command_round& round, const target_id& target) {
   auto& pool = runner_.pool();
   const auto connection = pool.find_any_idle(target);
--- a/packages/entry/failover_adapter.h
+++ b/packages/entry/failover_adapter.h
@@ -57,6 +57,8 @@
   /// Asks the pending targets, and ends the round if all have answered or its time is over.
   void advance(const service_id& service);
   void finish(const service_id& service, const command_round& round);
+  /// Logs the rows on which the choice of the next primary rests.
+  void log_answers(const service_id& service, const command_round& round) const;
   void ask(const service_id& service, command_round& round, const target_id& target);
   void on_status(const service_id& service, std::uint64_t number, const target_id& target, time_point sent,
                  const platform::batch_result& result);
--- a/packages/sql/failover_controller.cc
+++ b/packages/sql/failover_controller.cc
@@ -1,6 +1,7 @@
 #include "sql/failover_controller.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace bulrushlift::sql {
@@ -26,6 +27,20 @@
   return replicas - confirmations + 1;
 }
 
+/// @return the newest term of which the target knows.
+term_id known_term(const survey_answer& answer) {
+  return std::max(answer.term, answer.received.value_or(log_point{}).term);
+}
+
+/// @return whether a target that is not chosen has followed a newer term than the chosen one. The log of the
+///   chosen one may then hold commits that the promotion to that term dropped.
+bool is_outdated(const survey_answer& chosen, const std::vector<survey_answer>& answers,
+                 const target_directory& directory) {
+  auto newest = directory.newest_term();
+  for (const auto& each : answers) newest = std::max(newest, known_term(each));
+  return known_term(chosen) < newest;
+}
+
 }  // namespace
 
 std::string_view name_of(loss_reason reason) noexcept {
@@ -192,14 +207,14 @@
     if (history_.is_unresolved(answer.target)) return 2;
     return history_.may_be_resumed(answer.target, now) ? 1 : 0;
   };
+  const auto key = [&](const survey_answer& answer) {
+    return std::tuple{known_term(answer), *answer.received, preference(answer)};
+  };
   const survey_answer* best = nullptr;
   for (const auto& each : answers) {
     const bool is_unresolved = is_synchronous() && history_.is_unresolved(each.target);
     if (!each.received || !(is_unresolved || is_promotable(directory, each.target))) continue;
-    if (best == nullptr ||
-        std::pair{*each.received, preference(each)} > std::pair{*best->received, preference(*best)}) {
-      best = &each;
-    }
+    if (best == nullptr || key(each) > key(*best)) best = &each;
   }
   return best;
 }
@@ -223,6 +238,8 @@
   }
   const auto* best = find_best(answers, directory, now);
   if (best == nullptr || answered < required_answers_) return abandon(now);
+  if (is_outdated(*best, answers, directory) && lost_since_ && now - *lost_since_ < options_.newer_term_wait)
+    return abandon(now);
   chosen_target_ = best->target;
   if (!is_synchronous()) return claim(step::claiming_order, promotion_phase::ordering, now);
   // A command to resume that is still under way could end the fence.
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -110,6 +110,9 @@
   duration leaderless_timeout = std::chrono::milliseconds{800};
   /// Delay for each VM that ranks before this one, so that claims rarely collide.
   duration rank_delay = std::chrono::milliseconds{400};
+  /// While the primary is lost, targets that know the newest term are waited for this long, before one that
+  /// knows only an older term is promoted. Longer than a target usually takes to come back.
+  duration newer_term_wait = std::chrono::seconds{10};
   /// Pause before a target that has not confirmed that it resumes is told again.
   duration resume_pause = std::chrono::seconds{1};
   /// Pause after an abandoned attempt, because each survey takes a slot of every target.
--- a/packages/sql/failover_controller_test.cc
+++ b/packages/sql/failover_controller_test.cc
@@ -79,6 +79,35 @@
   CHECK(order->token == 42);
 }
 
+// Guards against a former primary that comes back alone, with commits that a promotion has dropped, and is
+// promoted though it has not heard of that promotion.
+TEST_CASE("A target that knows only an older term is promoted after a wait for the others") {
+  auto directory = directory_of_three();
+  failover_controller failover{{}};
+  directory.on_answer(first, log_point{term_id{2}, log_position{30}}, start);
+  for (int i = 0; i < 3; ++i) directory.on_failure(first, start);
+  auto now = start + milliseconds{1'300};
+  REQUIRE(as<survey_targets>(failover.on_timer(directory, {0, true, 0}, now)) != nullptr);
+  const survey_answer former{third, point(69), false, {}, term_id{1}};
+  const survey_answer follower{second, point(26), false, {}, term_id{2}};
+
+  SECTION("not at once") {
+    CHECK_FALSE(failover.on_survey({former}, directory, now));
+    CHECK(failover.is_idle());
+  }
+  SECTION("not if another one has followed the newest term, though it has received less") {
+    const auto claimed = failover.on_survey({former, follower}, directory, now);
+    REQUIRE(as<claim_promotion>(claimed) != nullptr);
+    CHECK(as<claim_promotion>(claimed)->claim.target == second);
+  }
+  SECTION("but at last, because the others may be gone for good") {
+    CHECK_FALSE(failover.on_survey({former}, directory, now));
+    now += std::chrono::seconds{10};
+    REQUIRE(as<survey_targets>(failover.on_timer(directory, {0, true, 0}, now)) != nullptr);
+    CHECK(as<claim_promotion>(failover.on_survey({former}, directory, now)) != nullptr);
+  }
+}
+
 TEST_CASE("A leaving primary is replaced at once") {
   auto directory = directory_of_three();
   failover_controller failover{{}};
