What a session keeps between statements is counted

Cause: the id of a begin, the key and the name of the database were kept and not counted, so the budget of memory refused and closed nothing. Statements for other VMs were counted without their ids. Change: one function says what a session keeps; the budget is told that. The callback of a waiting begin shares it.

--- a/packages/entry/caller_memory_path_test.cc
+++ b/packages/entry/caller_memory_path_test.cc
@@ -141,6 +141,33 @@
   check_processes(deployment, crowd);
 }
 
+// Guards against the id of a begin that is kept, and not counted, for as long as its transaction lasts.
+TEST_CASE("Transactions with long ids stay within the memory of the VM") {
+  session_deployment deployment{"crowd_long_ids", 1, false, crowd_settings()};
+  static_cast<void>(deployment.session(0, "orders"));
+  auto behaviour = greeted("QUERY " + large_text() + " BEGIN\r\n", 1);
+  behaviour.reads = true;
+  caller_crowd crowd{deployment, deployment.caller_address(0), behaviour};
+
+  crowd.run(100);
+
+  check_processes(deployment, crowd);
+}
+
+// Guards against the key of a session on a public route, which may be any text, that is kept and not counted.
+TEST_CASE("Sessions with long keys stay within the memory of the VM") {
+  session_deployment deployment{"crowd_long_keys", 1, false, crowd_settings()};
+  static_cast<void>(deployment.session(0, "orders"));
+  crowd_behaviour behaviour;
+  behaviour.text = "START catalogue " + large_text() + "\r\n";
+  behaviour.reads = true;
+  caller_crowd crowd{deployment, deployment.caller_address(0), behaviour};
+
+  crowd.run(100);
+
+  check_processes(deployment, crowd);
+}
+
 // Guards against limits that a caller inside the pages' limits meets.
 TEST_CASE("A single message of the largest size is served on a small VM") {
   session_deployment deployment{"crowd_calm", 1, false, crowd_settings()};
--- a/packages/entry/caller_session.cc
+++ b/packages/entry/caller_session.cc
@@ -259,10 +259,12 @@
     close();
     return;
   }
-  admit(statement, allowed, [this, statement, allowed] {
+  // The callback is copied, and the id may be long.
+  const auto kept = std::make_shared<const sql::statement>(statement);
+  admit(statement, allowed, [this, kept, allowed] {
     is_busy_ = false;
     transaction_ = transaction{};
-    transaction_->begin = statement;
+    transaction_->begin = *kept;
     transaction_->granted = allowed;
     transaction_->last_used = context_.loop.now();
     answer_complete("");
--- a/packages/entry/caller_session.h
+++ b/packages/entry/caller_session.h
@@ -84,6 +84,8 @@
   void process();
   /// Counts what the session holds, and reads on only if its share allows it.
   void update_flow();
+  /// @return bytes that are kept between two statements: names, values, definitions and the open transaction.
+  [[nodiscard]] std::size_t kept_bytes() const;
   /// Counts a new value or definition. @return whether the session may have it; if not, it is refused.
   [[nodiscard]] bool grow_session(std::size_t added, std::size_t removed);
   /// @return whether there is memory for the rows of an answer.
--- a/packages/entry/caller_session_flow.cc
+++ b/packages/entry/caller_session_flow.cc
@@ -34,6 +34,7 @@
   const auto unsent = connection_.unsent_bytes();
   budget.hold(account_, holding::pending, pending_bytes_, now);
   budget.hold(account_, holding::running, running_bytes_, now);
+  budget.hold(account_, holding::session, kept_bytes(), now);
   budget.hold(account_, holding::input, input, now);
   budget.hold(account_, holding::answer, unsent, now);
   if (is_closing_) {
@@ -63,11 +64,17 @@
   end();
 }
 
+std::size_t caller_session::kept_bytes() const {
+  const auto begin_bytes = transaction_ ? transaction_->begin.id.size() + transaction_->begin.text.size() : 0;
+  return session_bytes_ + database_.size() + key_.size() + begin_bytes;
+}
+
 bool caller_session::grow_session(std::size_t added, std::size_t removed) {
   const auto bytes = session_bytes_ + added - removed;
   const bool is_within_share = bytes <= context_.resources.shares().session_bytes;
   if (!is_within_share ||
-      !context_.resources.try_hold(account_, holding::session, bytes, context_.loop.now())) {
+      !context_.resources.try_hold(account_, holding::session, kept_bytes() + added - removed,
+                                   context_.loop.now())) {
     // The session would go on without what its caller believes to be set.
     refuse_and_close(is_within_share ? caller_error::busy : caller_error::too_large,
                      "no memory for the state of the session");
--- a/packages/entry/statement_router.cc
+++ b/packages/entry/statement_router.cc
@@ -41,7 +41,8 @@
 }
 
 std::size_t bytes_of(const work_item& item) {
-  auto sum = item.statement.text.size() + item.statement.argument.size();
+  auto sum = item.statement.id.size() + item.statement.text.size() + item.statement.argument.size();
+  if (item.begin) sum += item.begin->id.size() + item.begin->text.size();
   if (item.prepared) sum += item.prepared->shape.size();
   for (const auto& [name, value] : item.session->values) sum += name.size() + value.size();
   return sum;
--- a/packages/net/resource_budget.h
+++ b/packages/net/resource_budget.h
@@ -58,7 +58,7 @@
   input,    ///< An incomplete message.
   pending,  ///< Messages that wait for their turn.
   running,  ///< The statement that is being run.
-  session,  ///< Values and prepared statements.
+  session,  ///< What is kept between statements: names, values, definitions, an open transaction.
   answer,   ///< Answers that were not sent yet.
 };
 inline constexpr std::size_t holding_count = 5;
--- a/packages/standins/session_documents.cc
+++ b/packages/standins/session_documents.cc
@@ -43,6 +43,8 @@
 
 json configuration_document(std::uint64_t version, const std::string& service,
                             const std::vector<customer_description>& customers, int synchronous_replicas) {
+  auto catalogue = route("catalogue", "bounded", service);
+  catalogue["public"] = true;
   json tenants = json::array();
   for (const auto& customer : customers) {
     tenants.push_back({{"name", customer.name},
@@ -54,7 +56,7 @@
       {"version", version},
       {"routes",
        {route("orders", "primary", service), route("stock", "bounded", service),
-        route("book", "read_your_writes", service)}},
+        route("book", "read_your_writes", service), catalogue}},
       {"services",
        {{{"name", service}, {"connectionLimit", connection_limit}, {"syncReplicas", synchronous_replicas}}}},
       {"limits", {{"transactionIdleMs", transaction_idle_ms}}},
