A connection whose transaction state is unknown is not used again

Cause: while rows are dropped for want of memory, the rest of an incomplete line was dropped, also of READY; READY without a state was read as no transaction. Change: a discarded line keeps its first 64 bytes, so the last line of an answer is whole; READY without a known state is malformed and closes the connection.

--- a/packages/platform/line_protocol.cc
+++ b/packages/platform/line_protocol.cc
@@ -143,9 +143,11 @@
   return target_error::other;
 }
 
-transaction_state transaction_state_from(std::string_view keyword) {
+std::optional<transaction_state> transaction_state_from(std::string_view keyword) {
+  if (keyword == "I") return transaction_state::none;
   if (keyword == "T") return transaction_state::open;
-  return keyword == "E" ? transaction_state::failed : transaction_state::none;
+  if (keyword == "E") return transaction_state::failed;
+  return std::nullopt;
 }
 
 char state_letter(transaction_state state) {
@@ -258,8 +260,9 @@
     return target_failure{target_error_from_code(code), fmt::format("{} {}", code, rest)};
   }
   if (verb == "READY") {
-    const auto state = take_field(rest);
-    return target_ready{transaction_state_from(state), parse_point(rest)};
+    const auto state = transaction_state_from(take_field(rest));
+    if (!state) return malformed_target_message{};
+    return target_ready{*state, parse_point(rest)};
   }
   return malformed_target_message{};
 }
--- a/packages/platform/line_protocol_test.cc
+++ b/packages/platform/line_protocol_test.cc
@@ -123,6 +123,11 @@
   CHECK(std::get<target_ready>(ready).point == log_point{term_id{3}, log_position{1209}});
   CHECK_FALSE(std::get<target_ready>(decode_target_line("READY I -")).point);
   CHECK(std::holds_alternative<malformed_target_message>(decode_target_line("HELLO")));
+  // A connection whose state isn't known is not used again.
+  for (const auto* line : {"READY", "READY ", "READY  1.5", "READY X 1.5", "READY i 1.5"}) {
+    CAPTURE(line);
+    CHECK(std::holds_alternative<malformed_target_message>(decode_target_line(line)));
+  }
 }
 
 TEST_CASE("A status row gives role, term and received point") {
@@ -171,6 +176,28 @@
   CHECK(reader.buffered_bytes() == 5);
 }
 
+// Guards against a connection that goes back to the pool inside a transaction, because the state in the last
+// line of a large answer came in a later piece and was discarded with the rows.
+TEST_CASE("A short line is whole though rows before it were discarded") {
+  line_reader reader;
+  std::vector<std::string> lines;
+  const auto collect = [&](std::string_view line) {
+    lines.emplace_back(line);
+    return true;
+  };
+  const std::string answer = "COMPLETE -\r\nREADY T 1.5\r\n";
+  const auto cut = GENERATE(range(1, 24));
+  CAPTURE(cut);
+  CHECK(reader.feed("ROW " + std::string(500, 'x'), 10'000, collect));
+  reader.discard_rest_of_line();
+  CHECK(reader.feed("xxx\r\n" + answer.substr(0, static_cast<std::size_t>(cut)), 10'000, collect));
+  reader.discard_rest_of_line();
+  CHECK(reader.feed(answer.substr(static_cast<std::size_t>(cut)), 10'000, collect));
+  REQUIRE(lines.size() == 3);
+  CHECK(lines[1] == "COMPLETE -");
+  CHECK(lines[2] == "READY T 1.5");
+}
+
 // Guards against a text with a line feed whose rest is read as another message.
 TEST_CASE("Only a CR LF ends a line") {
   line_reader reader;
--- a/packages/platform/line_reader.h
+++ b/packages/platform/line_reader.h
@@ -40,7 +40,7 @@
         bytes.remove_prefix(end + 2);
         if (!partial_.empty()) {
           complete_line = std::exchange(partial_, {});
-          if (!is_discarding_) complete_line += line;
+          complete_line += is_discarding_ ? line.substr(0, room_of_start(complete_line)) : line;
           line = complete_line;
         }
       }
@@ -58,8 +58,8 @@
 
   /// Drops the incomplete line.
   void clear() { partial_ = std::string{}; }
-  /// Keeps only the start of the incomplete line, with its first word. What follows of the line is not
-  /// buffered, and `on_line` gets that start.
+  /// Keeps only the start of the incomplete line. What follows of it is not buffered, and `on_line` gets that
+  /// start. A line that is no longer than it stays whole.
   void discard_rest_of_line() {
     if (partial_.empty()) return;
     is_discarding_ = true;
@@ -76,6 +76,11 @@
     if (may_end) partial_ += '\r';
   }
 
+  [[nodiscard]] static std::size_t room_of_start(const std::string& start) noexcept {
+    return start.size() < max_start_bytes ? max_start_bytes - start.size() : 0;
+  }
+
+  /// The last line of an answer, with its state and position, is shorter.
   static constexpr std::size_t max_start_bytes = 64;
 
   std::string partial_;
