A VM that starts after the store came back older waits before it sets a fence

Cause: a VM that runs waits 15 s after the store came back older; one that starts cannot know that it did. Change: each claim says which epoch of the store its VM knew, and how much of the 15 s was left. A VM that starts and reads a claim of an earlier epoch, or none, waits 15 s.

--- a/packages/entry/caller_session.h
+++ b/packages/entry/caller_session.h
@@ -86,6 +86,7 @@
   void update_flow();
   /// @return bytes that are kept between two statements: names, values, definitions and the open transaction.
   [[nodiscard]] std::size_t kept_bytes() const;
+  [[nodiscard]] std::size_t kept_by_transaction() const;
   /// Counts a new value or definition. @return whether the session may have it; if not, it is refused.
   [[nodiscard]] bool grow_session(std::size_t added, std::size_t removed);
   /// @return whether there is memory for the rows of an answer.
--- a/packages/entry/caller_session_flow.cc
+++ b/packages/entry/caller_session_flow.cc
@@ -65,8 +65,11 @@
 }
 
 std::size_t caller_session::kept_bytes() const {
-  const auto begin_bytes = transaction_ ? transaction_->begin.id.size() + transaction_->begin.text.size() : 0;
-  return session_bytes_ + database_.size() + key_.size() + begin_bytes;
+  return session_bytes_ + database_.size() + key_.size() + kept_by_transaction();
+}
+
+std::size_t caller_session::kept_by_transaction() const {
+  return transaction_ ? transaction_->begin.id.size() + transaction_->begin.text.size() : 0;
 }
 
 bool caller_session::grow_session(std::size_t added, std::size_t removed) {
--- a/packages/entry/caller_session_lifecycle.cc
+++ b/packages/entry/caller_session_lifecycle.cc
@@ -82,10 +82,15 @@
               {{"request_id", transaction_->begin.id}, {"database", database_}, {"reason", reason}});
   router_.roll_back(std::exchange(transaction_->location, {}));
   transaction_->has_failed = true;
+  transaction_->begin = {};
+  update_flow();
 }
 
 void caller_session::on_tick(time_point now) {
-  if (is_busy_ || !transaction_ || !transaction_->location.is_set()) return;
+  if (is_busy_ || !transaction_) return;
+  // A transaction that has run nothing costs nothing, unless its begin is long.
+  const bool holds_memory = kept_by_transaction() > context_.resources.shares().small_bytes;
+  if (!transaction_->location.is_set() && !holds_memory) return;
   const auto limit = transaction_->granted.environment->transaction_idle_limit;
   if (now - transaction_->last_used >= limit) abort_transaction("the transaction was idle for too long");
 }
--- a/packages/entry/entry_settings.cc
+++ b/packages/entry/entry_settings.cc
@@ -166,6 +166,10 @@
     const bool is_known = it->is_string() && parse_log_level(it->get<std::string>(), out.level);
     if (!is_known) return invalid_field("log_level", "is not one of debug, info, warning, error");
   }
+  if (const auto it = document.find("is_first_start"); it != document.end()) {
+    if (!it->is_boolean()) return invalid_field("is_first_start", "is not true or false");
+    out.is_first_start = it->get<bool>();
+  }
   if (const auto it = document.find("log_lines_per_second"); it != document.end()) {
     if (!it->is_number_unsigned())
       return invalid_field("log_lines_per_second", "is not a non-negative integer");
--- a/packages/entry/entry_settings.h
+++ b/packages/entry/entry_settings.h
@@ -54,6 +54,8 @@
   /// Nothing is sent to a target later than this after the store has confirmed that it is leaving; zero for
   /// no such bound.
   duration target_drain_bound = std::chrono::seconds{7};
+  /// The whole system starts for the first time: no VM can have left a promotion half-way.
+  bool is_first_start = true;
   /// Within this time of its confirmation an evacuation is in force on all VMs; zero if none are watched.
   duration evacuation_bound{};
   sql::cold_allowance cold;  ///< What a cold target may get from all VMs together.
--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -34,7 +34,9 @@
       promotions_(context.loop, context.settings.promotions) {}
 
 sql::failover_controller& failover_adapter::controller_of(const service_id& service) {
-  return controllers_.try_emplace(service, sql::failover_options{}).first->second;
+  sql::failover_options options;
+  options.is_first_start = context_.settings.is_first_start;
+  return controllers_.try_emplace(service, options).first->second;
 }
 
 void failover_adapter::on_tick() {
@@ -50,7 +52,7 @@
     const auto rank = monitor_rank(service, context_.shared, context_.settings.vm);
     if (!rank) continue;
     const sql::failover_view view{*rank, context_.shared.is_target_list_trusted,
-                                  options->second.synchronous_replicas};
+                                  options->second.synchronous_replicas, store_.epoch().value()};
     perform(service, controller_of(service).on_timer(directory, view, now));
   }
 }
--- a/packages/entry/store_adapter.h
+++ b/packages/entry/store_adapter.h
@@ -39,6 +39,9 @@
   ///   can serve.
   [[nodiscard]] bool is_ready() const noexcept;
 
+  /// @return the epoch of the store, which rises each time that it comes back older.
+  [[nodiscard]] store_epoch epoch() const noexcept { return store_.epoch(); }
+
   /// Logs the number of calls to the store since the start, by kind of object.
   void log_calls() const;
 
--- a/packages/platform/documents.cc
+++ b/packages/platform/documents.cc
@@ -101,11 +101,14 @@
 
 constexpr std::uint64_t max_remaining_ms = 600'000;
 
+std::uint64_t milliseconds_of(duration time) {
+  return static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(time).count());
+}
+
 json encode_effects(const std::vector<sql::pending_effect>& effects) {
   json out = json::array();
   for (const auto& each : effects) {
-    const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(each.remaining).count();
-    out.push_back({{"target", each.target.str()}, {"remainingMs", static_cast<std::uint64_t>(remaining)}});
+    out.push_back({{"target", each.target.str()}, {"remainingMs", milliseconds_of(each.remaining)}});
   }
   return out;
 }
@@ -307,7 +310,9 @@
           {"phase", sql::name_of(record.claim.phase)},
           {"attempt", record.claim.attempt},
           {"unresolved", encode_effects(record.claim.unresolved)},
-          {"resumed", encode_effects(record.claim.resumed)}};
+          {"resumed", encode_effects(record.claim.resumed)},
+          {"storeEpoch", record.claim.epoch},
+          {"lostHistoryMs", milliseconds_of(record.claim.lost_history)}};
 }
 
 result<promotion_record> decode_promotion(const stored_object& object) {
@@ -323,11 +328,14 @@
   if (!unresolved) return tl::unexpected<error>(unresolved.error());
   auto resumed = decode_effects(fields, "resumed");
   if (!resumed) return tl::unexpected<error>(resumed.error());
+  out.claim.epoch = fields.number_or("storeEpoch", 0);
+  const auto lost_history_ms = fields.number_or("lostHistoryMs", 0);
   if (fields.has_failed()) return fields.failure();
   if (!phase) return make_error(error_kind::invalid_document, "promotion.phase is unknown");
-  if (out.claim.attempt > max_attempt) {
-    return make_error(error_kind::invalid_document, "promotion.attempt is out of range");
+  if (out.claim.attempt > max_attempt || lost_history_ms > max_remaining_ms) {
+    return make_error(error_kind::invalid_document, "promotion.attempt or .lostHistoryMs is out of range");
   }
+  out.claim.lost_history = std::chrono::milliseconds{static_cast<std::int64_t>(lost_history_ms)};
   out.claim.phase = *phase;
   out.claim.unresolved = std::move(*unresolved);
   out.claim.resumed = std::move(*resumed);
--- a/packages/platform/documents_test.cc
+++ b/packages/platform/documents_test.cc
@@ -139,6 +139,9 @@
       {"resumed", "7"},
       {"resumed", R"([{"target":"i-1","remainingMs":-1}])"},
       {"resumed", R"([{"target":"i-1","remainingMs":18446744073709551615}])"},
+      {"lostHistoryMs", "-1"},
+      {"lostHistoryMs", "18446744073709551615"},
+      {"storeEpoch", "\"2\""},
       {"claimedBy", "null"},
       {"target", "{}"}};
   for (const auto& [field, text] : odd) {
@@ -155,6 +158,8 @@
   sql::promotion_claim claim{target_id{"i-1"}, sql::promotion_phase::fencing, 3};
   claim.unresolved = {{target_id{"i-2"}, std::chrono::milliseconds{900}}};
   claim.resumed = {{target_id{"i-3"}, std::chrono::seconds{15}}, {target_id{"i-4"}, duration{}}};
+  claim.epoch = 2;
+  claim.lost_history = std::chrono::seconds{4};
   const promotion_record promotion{service_id{"s1"}, vm_id{"entry-1"}, claim};
   CHECK(*decode_promotion({"s1", store_version{{}, object_version{1}}, encode_promotion(promotion)}) ==
         promotion);
--- a/packages/platform/object_store.h
+++ b/packages/platform/object_store.h
@@ -118,6 +118,9 @@
     return call_counts_.at(static_cast<std::size_t>(kind));
   }
 
+  /// @return the highest epoch of a response; 0 before the first one.
+  [[nodiscard]] store_epoch epoch() const noexcept { return epoch_.value_or(store_epoch{}); }
+
  private:
   struct store_connection {
     store_connection(event_loop& loop, const http_client_limits& limits, object_kind carried)
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -98,6 +98,7 @@
   std::size_t rank = 0;  ///< This VM's position among the monitors of the service; 0 starts a failover first.
   bool is_list_trusted = false;            ///< The list of targets is complete and recent.
   std::uint32_t synchronous_replicas = 0;  ///< Replicas that must confirm a commit; 0 for none.
+  std::uint64_t epoch = 0;                 ///< Of the store; rises each time that it comes back older.
 };
 
 /// Time limits and thresholds of a failover.
@@ -127,6 +128,8 @@
   /// A fence that is not complete after this time is given up, because a leaving primary serves meanwhile.
   duration fence_timeout = std::chrono::seconds{2};
   claim_times claims = {};
+  /// The whole system starts for the first time, so nothing is under way.
+  bool is_first_start = true;
 };
 
 /// Controls the failover of one service. Does no input or output: each event returns the
@@ -221,6 +224,9 @@
   /// Abandons the attempt. Resumes replication if this VM may have paused it and no order may take effect.
   [[nodiscard]] std::optional<failover_action> abandon(time_point now);
   [[nodiscard]] std::optional<failover_action> end_attempt(time_point now);
+  /// Writes the first claim of a service, so that a VM that starts later finds one.
+  [[nodiscard]] std::optional<failover_action> claim_first(const target_directory& directory,
+                                                           const failover_view& view, time_point now);
 
   failover_options options_;
   promotion_history history_;
@@ -237,6 +243,7 @@
   std::map<target_id, survey_answer> fenced_;   ///< Answers of the targets that confirmed the running fence.
   std::optional<time_point> late_fence_until_;  ///< Until when a command to pause may take effect.
   time_point next_resume_{};                    ///< When targets that have not confirmed are told again.
+  bool is_started_ = false;                     ///< The timer has run.
   bool has_predecessor_ = false;                ///< The newest claim was of an earlier process of this VM.
   promotion_claim proposed_;                    ///< The claim that is being written.
   time_point granted_{};                        ///< When the newest claim of this VM was written.
--- a/packages/sql/promotion_claim.h
+++ b/packages/sql/promotion_claim.h
@@ -49,6 +49,12 @@
   std::vector<pending_effect> unresolved = {};
   /// Targets that an earlier command to resume replication may still reach.
   std::vector<pending_effect> resumed = {};
+  /// Epoch of the store as far as the VM of the claim knew it. A lower one than the store's means that claims
+  /// may have been lost since.
+  std::uint64_t epoch = 0;
+  /// For how long after the claim commands may take effect of which only the lost history of a store told
+  /// that has come back older.
+  duration lost_history{};
 
   friend bool operator==(const promotion_claim&, const promotion_claim&) = default;
 };
--- a/packages/sql/promotion_history.cc
+++ b/packages/sql/promotion_history.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "sql/fencing_token.h"
+
 namespace bulrushlift::sql {
 namespace {
 
@@ -51,12 +53,21 @@
   return entry != nullptr && !entry->info.is_leaving && !directory.is_evacuated(*entry);
 }
 
+void promotion_history::on_start(bool is_first_start, time_point now) {
+  if (!is_first_start && !has_claim()) on_store_restored(now);
+}
+
 void promotion_history::on_claim(const promotion_claim& claim, std::uint64_t token, bool is_own,
                                  time_point now) {
   if (newest_token_ && token <= *newest_token_) return;
+  const bool is_of_this_process = is_own && proposed_attempt_ == claim.attempt;
+  if (!newest_token_ && !is_of_this_process) {
+    // The first claim that a process reads says what it has not seen, unless claims were lost since.
+    const bool is_of_lost_history = claim.epoch < (token >> token_version_bits);
+    unknown_until_ = now + (is_of_lost_history ? times_.late_command_time : claim.lost_history);
+  }
   // A store that came back older lacks claims, of which something may still be under way.
   const bool is_older = newest_token_ && claim.attempt <= newest_.attempt;
-  const bool is_of_this_process = is_own && proposed_attempt_ == claim.attempt;
   newest_token_ = token;
   newest_seen_ = now;
   is_accepted_ = false;
@@ -101,6 +112,8 @@
   promotion_claim claim{target, phase, *proposed_attempt_};
   claim.unresolved = effects_of(unresolved_, now);
   claim.resumed = effects_of(resumed_until_, now);
+  claim.epoch = epoch_;
+  claim.lost_history = std::max(unknown_until_ - now, duration::zero());
   return claim;
 }
 
--- a/packages/sql/promotion_history.h
+++ b/packages/sql/promotion_history.h
@@ -28,6 +28,12 @@
  public:
   explicit promotion_history(claim_times times) : times_(times) {}
 
+  /// The process has started. Until it reads a claim, it knows nothing of what is under way.
+  /// @param is_first_start whether no VM can have claimed anything before.
+  void on_start(bool is_first_start, time_point now);
+  /// @param epoch of the store, as far as this VM knows it.
+  void set_epoch(std::uint64_t epoch) noexcept { epoch_ = epoch; }
+
   /// A claim was read from the store or written to it. One that is not newer than the newest known claim has
   /// no effect.
   /// @param token version of the claim, as fencing token.
@@ -53,6 +59,8 @@
   /// The target has confirmed the newest command to resume, or never got it. Earlier ones may still reach it.
   void on_resume_confirmed(const target_id& target);
 
+  /// @return whether any claim of the service is known.
+  [[nodiscard]] bool has_claim() const noexcept { return newest_token_.has_value(); }
   /// @return whether the newest known claim was written by an earlier process of this VM.
   [[nodiscard]] bool is_of_predecessor() const noexcept { return is_own_ && !proposed_attempt_; }
   /// @return whether this VM holds the newest claim that it knows.
@@ -106,7 +114,8 @@
   /// The same for each target before the newest command to it.
   std::map<target_id, time_point> resumed_before_;
   std::optional<time_point> unknown_resume_until_;  ///< The same for commands of other VMs, to any target.
-  time_point unknown_until_{};                      ///< Until when what a lost history told may take effect.
+  std::uint64_t epoch_ = 0;
+  time_point unknown_until_{};  ///< Until when what a lost history told may take effect.
 };
 
 /// @return whether a target can be promoted: it is listed, stays, and its data centre is in use.
--- a/packages/sql/promotion_world_fake.cc
+++ b/packages/sql/promotion_world_fake.cc
@@ -59,7 +59,7 @@
   for (std::size_t i = 0; i < vm_count; ++i) {
     vms_.push_back(std::make_unique<vm>());
     vms_.back()->number = i;
-    start_vm(i);
+    start_vm(i, true);
   }
   after(duration::zero(), [this] { commit(); });
 }
@@ -113,12 +113,15 @@
   return it == members_.end() ? nullptr : &*it;
 }
 
-void promotion_world::start_vm(std::size_t number) {
+void promotion_world::start_vm(std::size_t number, bool is_first) {
   auto& each = *vms_[number];
   const auto process = each.process + 1;
   each = vm{};
   each.number = number;
   each.process = process;
+  failover_options options;
+  options.is_first_start = is_first;
+  each.failover = failover_controller{options};
   after(between(1, 40), number, [this](vm& self) {
     for (const auto& target : members_) announce(target);
     see_claim(self, stored_, store_changes_);
@@ -155,7 +158,7 @@
     for (const auto& target : pending) ask(each, target);
     if (now_ - each.round->started >= round_time) finish_round(each);
   }
-  perform(each, each.failover.on_timer(each.directory, {each.number, true, 1}, now_));
+  perform(each, each.failover.on_timer(each.directory, {each.number, true, 1, each.known_epoch}, now_));
   after(tick_interval, each.number, [this](vm& self) { tick(self); });
 }
 
@@ -315,7 +318,7 @@
     case 0:
       if (!faults_.has_starts_after_restore && now_ - restored_ < longest_delay) return;
       note(fmt::format("vm {} restarts", number));
-      return start_vm(number);
+      return start_vm(number, false);
     case 1:
       each.frozen_until = now_ + between(500, 6'000);
       return;
--- a/packages/sql/promotion_world_fake.h
+++ b/packages/sql/promotion_world_fake.h
@@ -79,7 +79,8 @@
   void note(const std::string& text);
   [[nodiscard]] member& find(const target_id& target);
   [[nodiscard]] member* primary();
-  void start_vm(std::size_t number);
+  /// @param is_first whether the whole system starts for the first time.
+  void start_vm(std::size_t number, bool is_first);
   void tick(vm& each);
   void announce(const member& each);
   [[nodiscard]] std::uint64_t next_token();
