--- a/packages/entry/caller_session_flow.cc
+++ b/packages/entry/caller_session_flow.cc
@@ -75,9 +75,8 @@
 bool caller_session::grow_session(std::size_t added, std::size_t removed) {
   const auto bytes = session_bytes_ + added - removed;
   const bool is_within_share = bytes <= context_.resources.shares().session_bytes;
-  if (!is_within_share ||
-      !context_.resources.try_hold(account_, holding::session, kept_bytes() + added - removed,
-                                   context_.loop.now())) {
+  if (!is_within_share || !context_.resources.try_hold(account_, holding::session,
+                                                       kept_bytes() + added - removed, context_.loop.now())) {
     // The session would go on without what its caller believes to be set.
     refuse_and_close(is_within_share ? caller_error::busy : caller_error::too_large,
                      "no memory for the state of the session");
