--- a/packages/entry/caller_memory_path_test.cc
+++ b/packages/entry/caller_memory_path_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "entry/caller_crowd_fake.h"
+#include "standins/session_documents.h"
 
 // Memory of a process while many callers send or leave unread more than it may hold. Each test fails if the
 // process ends, exceeds the memory or the descriptors of its VM, or serves nobody afterwards.
@@ -154,6 +155,29 @@
   check_processes(deployment, crowd);
 }
 
+// Guards against a transaction with a long id that keeps memory for as long as its caller rests.
+TEST_CASE("A transaction with a long id that rests is ended, and its memory is free") {
+  session_deployment deployment{"crowd_resting_id", 1, false, crowd_settings()};
+  static_cast<void>(deployment.session(0, "orders"));
+  auto configuration = configuration_document(2, "ledger", {{"shop", {"key-new"}}}, 0);
+  configuration["limits"]["transactionIdleMs"] = 300;
+  deployment.platform->put("config", "main", configuration);
+  std::unique_ptr<test_caller> small;
+  deployment.await("configuration", [&] {
+    small = deployment.connect(0);
+    return small->ask_joined("START orders key-new") == "READY I -";
+  });
+  const auto large = deployment.connect(0);
+  CHECK(large->ask_joined("START orders key-new") == "READY I -");
+  CHECK(small->ask_joined("QUERY b1 BEGIN") == "COMPLETE -|READY T -");
+  CHECK(large->ask_joined("QUERY " + large_text() + " BEGIN") == "COMPLETE -|READY T -");
+
+  deployment.await("end", [&] { return deployment.count_logged(0, "\"transaction_aborted\"") > 0; });
+
+  CHECK(large->ask("QUERY r1 READ hide").front().starts_with("ERROR MALFORMED"));
+  CHECK(small->ask_joined("QUERY r2 READ hide").starts_with("ROW |COMPLETE signed|READY T"));
+}
+
 // Guards against the key of a session on a public route, which may be any text, that is kept and not counted.
 TEST_CASE("Sessions with long keys stay within the memory of the VM") {
   session_deployment deployment{"crowd_long_keys", 1, false, crowd_settings()};
--- a/packages/entry/caller_session_lifecycle.cc
+++ b/packages/entry/caller_session_lifecycle.cc
@@ -82,7 +82,8 @@
               {{"request_id", transaction_->begin.id}, {"database", database_}, {"reason", reason}});
   router_.roll_back(std::exchange(transaction_->location, {}));
   transaction_->has_failed = true;
-  transaction_->begin = {};
+  // An assignment would keep the buffers of the strings.
+  static_cast<void>(std::exchange(transaction_->begin, {}));
   update_flow();
 }
 
--- a/packages/net/tcp_stream.cc
+++ b/packages/net/tcp_stream.cc
@@ -35,6 +35,8 @@
 namespace {
 
 constexpr std::size_t read_buffer_bytes = 64U << 10U;
+// A queue that is empty keeps a buffer of this size at most.
+constexpr std::size_t kept_queue_bytes = 16U << 10U;
 
 // One buffer for all connections of the thread keeps idle connections small.
 std::array<char, read_buffer_bytes>& read_buffer() {
@@ -183,7 +185,9 @@
 
   void compact_queue() {
     if (queue_start_ == queue_.size()) {
-      queue_ = std::string{};
+      // An assignment would keep the buffer.
+      if (queue_.capacity() > kept_queue_bytes) std::string{}.swap(queue_);
+      queue_.clear();
       queue_start_ = 0;
     } else if (queue_start_ > queue_.size() / 2) {
       queue_.erase(0, queue_start_);
--- a/packages/platform/line_reader.h
+++ b/packages/platform/line_reader.h
@@ -57,7 +57,7 @@
   [[nodiscard]] std::size_t buffered_bytes() const noexcept { return partial_.size(); }
 
   /// Drops the incomplete line.
-  void clear() { partial_ = std::string{}; }
+  void clear() { std::string{}.swap(partial_); }
   /// Keeps only the start of the incomplete line. What follows of it is not buffered, and `on_line` gets that
   /// start. A line that is no longer than it stays whole.
   void discard_rest_of_line() {
