Failover: a name and a comment that a newcomer stumbles on, and how many targets are resumed

Cause: read as a newcomer. A local variable had the name of a function of the file, and a list of steps was wrapped badly. replication_resumed is logged for each promotion now, so it says for how many targets. Change: names, comments and one field of a log line.

--- a/packages/entry/failover_adapter.cc
+++ b/packages/entry/failover_adapter.cc
@@ -93,7 +93,8 @@
 }
 
 void failover_adapter::run(const service_id& service, const sql::resume_targets& action) {
-  log_warning("replication_resumed", {{"service", service.str()}});
+  log_warning("replication_resumed",
+              {{"service", service.str()}, {"targets", std::uint64_t{action.targets.size()}}});
   start_round(service, {sql::command_kind::resume_replication}, action.targets);
 }
 
--- a/packages/sql/failover_choice.cc
+++ b/packages/sql/failover_choice.cc
@@ -24,10 +24,10 @@
   return std::max(answer.term, answer.received.value_or(log_point{}).term);
 }
 
-/// @return whether a target that is not chosen has followed a newer term than the chosen one. The log of the
-///   chosen one may then hold commits that the promotion to that term dropped.
-bool is_outdated(const survey_answer& chosen, const std::vector<survey_answer>& answers,
-                 const target_directory& directory) {
+/// @return whether a newer term is known than the chosen target has followed. Its log may then hold commits
+///   that the promotion to that term dropped.
+bool follows_older_term(const survey_answer& chosen, const std::vector<survey_answer>& answers,
+                        const target_directory& directory) {
   auto newest = directory.newest_term();
   for (const auto& each : answers) newest = std::max(newest, known_term(each));
   return known_term(chosen) < newest;
@@ -101,8 +101,8 @@
   }
   const auto* best = find_best(answers, directory, now);
   if (best == nullptr || answered < required_answers_) return abandon(now);
-  if (is_outdated(*best, answers, directory) && lost_since_ && now - *lost_since_ < options_.newer_term_wait)
-    return abandon(now);
+  const bool may_wait = lost_since_ && now - *lost_since_ < options_.newer_term_wait;
+  if (may_wait && follows_older_term(*best, answers, directory)) return abandon(now);
   chosen_target_ = best->target;
   if (!is_synchronous()) return claim(step::claiming_order, promotion_phase::ordering, now);
   // A command to resume that is still under way could end the fence.
--- a/packages/sql/failover_controller.h
+++ b/packages/sql/failover_controller.h
@@ -29,11 +29,10 @@
 /// 2. Claim the right to fence, then pause replication on the other targets (the fence). Enough of them
 ///    must confirm it that at least one has every acknowledged commit: n - s + 1 of n replicas, if s
 ///    replicas confirm each commit.
-/// 3. Claim the order of the target with the newest log point, and order it. Then let this target alone
-/// receive
-///    again: a commit that it confirms is in the log that will lead, so writes go on until the promotion
-///    takes effect, also if the platform does not answer for a long time.
-/// 4. Once it is the primary, claim that nothing is under way any more.
+/// 3. Claim the order of the target with the newest log point, and order it.
+/// 4. Let this target alone receive again: a commit that it confirms is in the log that will lead. So writes
+///    go on until the promotion takes effect, also if the platform does not answer for a long time.
+/// 5. Once it is the primary, claim that nothing is under way any more.
 /// The fence ends by a promotion, or by a claim to resume, which is made only while no order may still take
 /// effect. An attempt that another VM left half-way is finished: by an order of the same target, or by
 /// resuming replication.
